--- /dev/null
+++ b/include/tmx/constants.h
@@ -0,0 +1,78 @@
+/* Every constant of the program, with its unit and the reason for its value. What depends on
+ * a deployment is derived from its settings instead. */
+#ifndef TMX_CONSTANTS_H
+#define TMX_CONSTANTS_H
+
+/* --- limits of messages and tables (bytes, counts) --- */
+#define TMX_BODY_MAX 65536            /* bytes; PROTOCOL's limit for requests */
+#define TMX_REPLY_MAX (24u << 20)     /* bytes; a watch has no size limit, memory has */
+#define TMX_CBOR_DEPTH 16             /* levels; no message of PROTOCOL nests deeper than 5 */
+#define TMX_PATH_MAX 512              /* bytes; a state key has at most 200 */
+#define TMX_NAME_MAX 64               /* bytes; names of nodes, zones, teams, images */
+#define TMX_ID_MAX 32                 /* bytes; job ids and machine names */
+#define TMX_TASKS_MAX 100000          /* tasks of one job; PROTOCOL's limit */
+#define TMX_ZONES_MAX 16              /* zones; a counter a zone and job is kept */
+#define TMX_TYPES_MAX 32              /* machine types in the catalog; more are ignored */
+#define TMX_MEMBERS_MAX 16            /* controllers in one view */
+#define TMX_SERVER_CONNS_SHARE 0.7    /* of the sockets: the rest is for outgoing calls */
+#define TMX_IDLE_CLOSE_S 300.0        /* s; a silent incoming connection is given up */
+#define TMX_PARTIAL_S 15.0            /* s; a request must arrive whole in this time */
+
+/* --- state service (s unless said) --- */
+#define TMX_LEASE_TTL_MS 6000         /* ms; refused peers are noticed sooner by heartbeats */
+#define TMX_LEASE_RENEW_S 1.2         /* five tries a lease */
+#define TMX_STATE_TIMEOUT_S 2.0       /* answers take 10 ms, at times a few hundred */
+#define TMX_WATCH_WAIT_MS 15000       /* ms; long, since an idle watch costs nothing */
+#define TMX_WATCH_SPACING_S 0.02      /* between watches: bounds requests at 50 a second */
+#define TMX_CONFIRM_SPACING_S 0.04    /* between revision reads: all waiting polls share one */
+#define TMX_CONFIRM_IDLE_S 1.0        /* a revision read at least this often, for freshness */
+#define TMX_WATCH_LAG_S 0.7           /* behind a revision read this long: open the watch anew */
+#define TMX_STATE_RETRY_S 0.3         /* after an error of the state service */
+#define TMX_TXN_BYTES 49152           /* bytes; PROTOCOL allows 64 KiB, counted as JSON */
+#define TMX_FRESH_MARGIN_S 3.0        /* taken off cancel_s - lease_s: drift, delays, halts */
+#define TMX_FOLD_KEYS 300             /* batch keys kept before old ones are folded */
+
+/* --- rounds (s) --- */
+#define TMX_ROUND_SPACING_S 0.03      /* least time between two rounds of one controller */
+#define TMX_ROUND_IDLE_S 2.0          /* the paper's draft period: a round without an event */
+#define TMX_ENDS_DELAY_S 0.25         /* completions wait this long to share a batch */
+#define TMX_LEADER_GRACE_S 0.4        /* a job's own controller goes first this long */
+#define TMX_WRITE_SHARE 0.85          /* of the write rate: the rest is for submissions */
+#define TMX_PLAN_TASKS 400            /* tasks placed in one round at most */
+
+/* --- workers (s) --- */
+#define TMX_COMMAND_TIMEOUT_S 1.5     /* unanswered after this: bump the token */
+#define TMX_TAKE_AFTER_S 5.0          /* a worker that comes back this long after being sent to its
+                                         owner cannot reach it: take it over */
+#define TMX_TAKE_WITHIN_S 20.0        /* ... and within this */
+#define TMX_HEARD_S 4.5               /* no report for this long: no new tasks on the machine */
+#define TMX_SILENT_REPORTS 2.7        /* report periods without any report: a machine is silent */
+#define TMX_SICK_ERRORS 4             /* errors in a row from two jobs or more: a faulty machine */
+#define TMX_RETRY_BASE_S 0.5          /* backoff of a job whose tasks fail: doubles a failure */
+#define TMX_RETRY_MAX_S 30.0          /* and ends here */
+
+/* --- peers (s) --- */
+#define TMX_BEAT_S 0.4                /* heartbeat period */
+#define TMX_BEAT_DEAD_S 1.3           /* refused and silent for this long: advice that it is dead */
+#define TMX_BEAT_LOST_S 2.5           /* silent for this long: its advice no longer counts */
+
+/* --- users (s) --- */
+#define TMX_USER_WAIT_S 1.5           /* a waiting poll is refused after this; users wait 2 s */
+#define TMX_SUBMIT_WAIT_S 2.5         /* a waiting submission is refused; users wait 5 s */
+#define TMX_RETRY_AFTER_MIN 1         /* s; spread of Retry-After so that returns come apart */
+#define TMX_RETRY_AFTER_SPAN 2        /* s */
+#define TMX_USER_QUEUE 400            /* requests waiting for the state; more are refused at once */
+
+/* --- cloud (s) --- */
+#define TMX_CLOUD_TIMEOUT_S 5.0
+#define TMX_CATALOG_S 60.0            /* prices move; the catalog is read again */
+#define TMX_CATALOG_RETRY_S 0.5
+#define TMX_LIST_S 2.0                /* the machine list is read by the leader */
+#define TMX_RENT_S 1.0                /* capacity is weighed this often */
+#define TMX_REFUSED_S 15.0            /* a refused type, zone and kind rests; doubles */
+#define TMX_REFUSED_MAX_S 120.0
+#define TMX_IDLE_RETURN_S 75.0        /* an empty machine is returned: the least charge is 60 s */
+#define TMX_BOOT_LATE 4.0             /* times boot_s: a machine that boots longer is returned */
+#define TMX_HEADROOM 0.08             /* of the room booked by services, kept free for restarts */
+
+#endif
--- /dev/null
+++ b/src/config/settings.h
@@ -0,0 +1,58 @@
+/* The settings that the platform hands over (JSON) and the operators' own (TOML). */
+#ifndef TMX_SETTINGS_H
+#define TMX_SETTINGS_H
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "tmx/constants.h"
+
+struct tmx_peer_conf {
+  char name[TMX_NAME_MAX], zone[TMX_NAME_MAX], addr[TMX_NAME_MAX];
+};
+struct tmx_team_conf {
+  char name[TMX_NAME_MAX];
+  double cpus, cpus_max, gpus, gpus_max; /* max 0: no limit */
+};
+struct tmx_objective {
+  char kind[16], class_name[TMX_NAME_MAX];
+  double within_s;
+};
+#define TMX_TEAMS_MAX 32
+#define TMX_OBJECTIVES_MAX 32
+struct tmx_operator {
+  double idle_return_s; /* an empty machine is returned after this, s */
+  double headroom;      /* share of the services' room kept free */
+  double silent_s;      /* a machine without reports is replaced after this, s; 0: derived */
+};
+struct tmx_settings {
+  char node[TMX_NAME_MAX], zone[TMX_NAME_MAX], listen[TMX_NAME_MAX], peer_listen[TMX_NAME_MAX];
+  char cloud[TMX_NAME_MAX], state[TMX_NAME_MAX];
+  struct tmx_peer_conf peers[TMX_MEMBERS_MAX];
+  size_t n_peers;
+  char zones[TMX_ZONES_MAX][TMX_NAME_MAX];
+  size_t n_zones;
+  struct tmx_team_conf teams[TMX_TEAMS_MAX];
+  size_t n_teams;
+  struct tmx_objective objectives[TMX_OBJECTIVES_MAX];
+  size_t n_objectives;
+  double report_s, lease_s, cancel_s;
+  double state_rps, write_rps, value_kb;
+  int txn_ops;
+  double cloud_rps, list_lag_s;
+  double core_share, ram_mb;
+  int sockets;
+  double clock_off_ms;
+  struct tmx_operator op;
+};
+/* false: err holds one line naming the field */
+bool tmx_settings_load(struct tmx_settings *s, const char *path, char *err, size_t cap);
+bool tmx_settings_parse(struct tmx_settings *s, const char *text, char *err, size_t cap);
+void tmx_operator_defaults(struct tmx_operator *o);
+#ifdef __cplusplus
+extern "C"
+#endif
+    bool
+    tmx_operator_load(struct tmx_operator *o, const char *path, char *err, size_t cap);
+int tmx_zone_index(const struct tmx_settings *s, const char *zone);
+int tmx_team_index(const struct tmx_settings *s, const char *team);
+#endif
--- /dev/null
+++ b/src/core/capacity.c
@@ -0,0 +1,94 @@
+#include "core/capacity.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct bin {
+  double cpus, gpus, mem;
+  const struct tmx_type *type;
+  int zone;
+  bool spot;
+};
+
+static bool suits(const struct tmx_spec *s, const struct tmx_type *t, int zone, bool spot,
+                  const struct tmx_demand *d) {
+  (void)d;
+  return (!spot || s->spot) && tmx_type_allowed(s, t->name) && s->cpus <= t->cpus &&
+         s->gpus <= t->gpus && s->mem <= t->mem && (zone >= 0 || !s->zone[0]);
+}
+
+static uint32_t fits(const struct tmx_spec *s, double cpus, double gpus, double mem) {
+  double n = 1e6;
+  if (s->cpus > 0) n = fmin(n, cpus / s->cpus + 1e-9);
+  if (s->gpus > 0) n = fmin(n, gpus / s->gpus + 1e-9);
+  if (s->mem > 0) n = fmin(n, mem / s->mem + 1e-9);
+  return n < 0 ? 0 : (uint32_t)n;
+}
+
+size_t tmx_capacity(const struct tmx_demand *d, size_t n_d, const struct tmx_offer *o, size_t n_o,
+                    const struct tmx_coming *c, size_t n_c, double have, struct tmx_hire *out,
+                    size_t max) {
+  size_t n_out = 0, n_bins = 0, cap = n_c + 512;
+  struct bin *bins = calloc(cap, sizeof *bins);
+  if (!bins) abort();
+  for (size_t i = 0; i < n_c; i++)
+    bins[n_bins++] = (struct bin){c[i].type->cpus, c[i].type->gpus, c[i].type->mem, c[i].type,
+                                  c[i].zone, c[i].spot};
+  /* Work that the machines at hand clear within about the boot time needs no new ones. */
+  double backlog = 0;
+  for (size_t i = 0; i < n_d; i++)
+    if (!d[i].spec->service) backlog += d[i].tasks * d[i].spec->cpus * fmax(d[i].spec->estimate_s, 5);
+  for (size_t i = 0; i < n_d; i++) {
+    const struct tmx_spec *s = d[i].spec;
+    uint32_t left = d[i].tasks;
+    if (!s->service) {
+      double drain = have > 0 ? backlog / have : 1e9; /* s to clear it all as it stands */
+      if (drain < 10) continue;
+      /* enough to be done in one more run time, rather than a machine for every task */
+      left = (uint32_t)ceil(left * fmin(1.0, fmax(s->estimate_s, 5) / 45.0));
+    }
+    for (size_t b = 0; b < n_bins && left; b++) {
+      if (!suits(s, bins[b].type, bins[b].zone, bins[b].spot, &d[i])) continue;
+      uint32_t k = fits(s, bins[b].cpus, bins[b].gpus, bins[b].mem);
+      if (k > left) k = left;
+      bins[b].cpus -= k * s->cpus;
+      bins[b].gpus -= k * s->gpus;
+      bins[b].mem -= k * s->mem;
+      left -= k;
+    }
+    while (left && n_bins < cap) {
+      int best = -1;
+      double best_v = 0;
+      for (size_t k = 0; k < n_o; k++) {
+        if (!suits(s, o[k].type, o[k].zone, o[k].spot, &d[i])) continue;
+        uint32_t in = fits(s, o[k].type->cpus, o[k].type->gpus, o[k].type->mem);
+        if (!in) continue;
+        /* price of a task's room, counting only the room that is wanted now by half */
+        double wanted = in < left ? in : (left + in) / 2.0;
+        double v = o[k].price / wanted * (1 + o[k].type->boot_s / 200.0);
+        if (best < 0 || v < best_v) {
+          best = (int)k;
+          best_v = v;
+        }
+      }
+      if (best < 0) break;
+      const struct tmx_type *t = o[best].type;
+      uint32_t k = fits(s, t->cpus, t->gpus, t->mem);
+      if (k > left) k = left;
+      bins[n_bins++] = (struct bin){t->cpus - k * s->cpus, t->gpus - k * s->gpus,
+                                    t->mem - k * s->mem, t, o[best].zone, o[best].spot};
+      left -= k;
+      size_t h;
+      for (h = 0; h < n_out; h++)
+        if (out[h].offer == best) break;
+      if (h == n_out) {
+        if (n_out == max) break;
+        out[n_out++] = (struct tmx_hire){best, 0};
+      }
+      out[h].count++;
+    }
+  }
+  free(bins);
+  return n_out;
+}
--- /dev/null
+++ b/src/core/capacity.h
@@ -0,0 +1,30 @@
+/* How many machines to rent, and of which kind: pure functions. */
+#ifndef TMX_CAPACITY_H
+#define TMX_CAPACITY_H
+#include "controller.h"
+
+struct tmx_demand { /* waiting tasks of one job that found no room */
+  const struct tmx_spec *spec;
+  uint32_t tasks;
+  double waited;
+};
+struct tmx_offer { /* one type, zone and kind that may be rented now */
+  const struct tmx_type *type;
+  int zone;
+  bool spot;
+  double price;
+};
+struct tmx_coming { /* a machine that is rented and not up yet */
+  const struct tmx_type *type;
+  int zone;
+  bool spot;
+};
+struct tmx_hire {
+  int offer;
+  uint32_t count;
+};
+/* Returns the number of hires written to out. have_cpus: room of the machines that are up. */
+size_t tmx_capacity(const struct tmx_demand *d, size_t n_d, const struct tmx_offer *o, size_t n_o,
+                    const struct tmx_coming *c, size_t n_c, double have_cpus,
+                    struct tmx_hire *out, size_t max);
+#endif
--- /dev/null
+++ b/src/net/log.c
@@ -0,0 +1,43 @@
+#include "net/log.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+static int g_level = TMX_INFO;
+static char g_node[64] = "-";
+
+void tmx_log_init(const char *node) {
+  const char *v = getenv("LOG_LEVEL");
+  if (v && !strcmp(v, "error")) g_level = TMX_ERROR;
+  if (v && !strcmp(v, "debug")) g_level = TMX_DEBUG;
+  snprintf(g_node, sizeof g_node, "%s", node);
+}
+
+int tmx_log_on(int level) { return level <= g_level; }
+
+double tmx_now(void) {
+  struct timespec t;
+  clock_gettime(CLOCK_MONOTONIC, &t);
+  return (double)t.tv_sec + (double)t.tv_nsec * 1e-9;
+}
+
+double tmx_wall(void) {
+  struct timespec t;
+  clock_gettime(CLOCK_REALTIME, &t);
+  return (double)t.tv_sec + (double)t.tv_nsec * 1e-9;
+}
+
+void tmx_log(int level, const char *fmt, ...) {
+  static const char *names[] = {"error", "info", "debug"};
+  if (level > g_level) return;
+  char line[1024];
+  int n = snprintf(line, sizeof line, "%.3f %s %s ", tmx_wall(), g_node, names[level]);
+  va_list ap;
+  va_start(ap, fmt);
+  vsnprintf(line + n, sizeof line - (size_t)n, fmt, ap);
+  va_end(ap);
+  fprintf(stderr, "%s\n", line);
+}
--- /dev/null
+++ b/src/peer/peer.c
@@ -0,0 +1,361 @@
+/* Heartbeats between controllers, XDR over TCP: who is alive, how far its state is, which
+ * machines it hears. Advice only. Each controller sends on connections that it opened and
+ * listens on those that were opened to it. */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <rpc/rpc.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utlist.h>
+
+#include "beat.h"
+#include "controller.h"
+#include "net/log.h"
+
+#define BEAT_BYTES_MAX (256u << 10)
+
+struct heard {
+  char id[TMX_ID_MAX];
+  double age; /* at the time of the beat */
+  bool notice;
+};
+struct peer {
+  struct tmx_peers *p;
+  char name[TMX_NAME_MAX];
+  struct sockaddr_in addr;
+  int fd;
+  bool connecting;
+  ev_io wr;
+  struct tmx_buf out;
+  size_t sent;
+  double opened_at, stuck_at, refused_at;
+  int refusals;
+  /* from its beats */
+  double beat_at;
+  uint64_t run, revision;
+  struct heard *heard;
+  size_t n_heard;
+};
+struct incoming {
+  struct tmx_peers *p;
+  int fd;
+  ev_io rd;
+  struct tmx_buf in;
+  struct incoming *prev, *next;
+};
+struct tmx_peers {
+  struct tmx_ctl *c;
+  int fd;
+  ev_io acc;
+  struct peer peers[TMX_MEMBERS_MAX];
+  size_t n;
+  struct incoming *in;
+  int n_in;
+  double sent_at;
+};
+
+static bool to_addr(const char *s, struct sockaddr_in *a) {
+  char host[64];
+  const char *c = strrchr(s, ':');
+  if (!c || (size_t)(c - s) >= sizeof host) return false;
+  memset(a, 0, sizeof *a);
+  memcpy(host, s, (size_t)(c - s));
+  host[c - s] = 0;
+  a->sin_family = AF_INET;
+  a->sin_port = htons((uint16_t)atoi(c + 1));
+  return inet_pton(AF_INET, host, &a->sin_addr) == 1;
+}
+
+/* ------------------------------------------------------------ receiving */
+
+static void in_close(struct incoming *i) {
+  ev_io_stop(i->p->c->loop, &i->rd);
+  close(i->fd);
+  DL_DELETE(i->p->in, i);
+  i->p->n_in--;
+  tmx_buf_free(&i->in);
+  free(i);
+}
+
+static void take_beat(struct tmx_peers *p, const tmx_beat *b) {
+  struct peer *q = NULL;
+  for (size_t i = 0; i < p->n; i++)
+    if (!strcmp(p->peers[i].name, b->node)) q = &p->peers[i];
+  if (!q) return;
+  q->beat_at = tmx_now();
+  q->refusals = 0;
+  q->run = b->run;
+  q->revision = b->revision;
+  free(q->heard);
+  q->n_heard = b->heard.heard_len;
+  q->heard = calloc(q->n_heard + 1, sizeof *q->heard);
+  if (!q->heard) abort();
+  for (size_t i = 0; i < q->n_heard; i++) {
+    const tmx_heard *h = &b->heard.heard_val[i];
+    snprintf(q->heard[i].id, TMX_ID_MAX, "%s", h->id);
+    q->heard[i].age = h->age_ms / 1000.0;
+    q->heard[i].notice = h->notice;
+  }
+}
+
+static void on_in(struct ev_loop *l, ev_io *w, int ev) {
+  (void)l;
+  (void)ev;
+  struct incoming *i = w->data;
+  char buf[16384];
+  ssize_t n = recv(i->fd, buf, sizeof buf, 0);
+  if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) return;
+  if (n <= 0) {
+    in_close(i);
+    return;
+  }
+  tmx_buf_add(&i->in, buf, (size_t)n);
+  for (;;) {
+    if (i->in.n < 4) return;
+    uint32_t len;
+    memcpy(&len, i->in.p, 4);
+    len = ntohl(len);
+    if (len > BEAT_BYTES_MAX) {
+      in_close(i);
+      return;
+    }
+    if (i->in.n < 4 + (size_t)len) return;
+    XDR x;
+    tmx_beat b;
+    memset(&b, 0, sizeof b);
+    xdrmem_create(&x, (char *)i->in.p + 4, len, XDR_DECODE);
+    bool ok = xdr_tmx_beat(&x, &b);
+    if (ok) take_beat(i->p, &b);
+    xdr_destroy(&x);
+    xdr_free((xdrproc_t)xdr_tmx_beat, (char *)&b);
+    if (!ok) {
+      in_close(i);
+      return;
+    }
+    memmove(i->in.p, i->in.p + 4 + len, i->in.n - 4 - len);
+    i->in.n -= 4 + len;
+  }
+}
+
+static void on_acc(struct ev_loop *l, ev_io *w, int ev) {
+  (void)ev;
+  struct tmx_peers *p = w->data;
+  int fd = accept4(p->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (fd < 0) return;
+  if (p->n_in >= 4 * TMX_MEMBERS_MAX) in_close(p->in); /* the oldest: likely dead */
+  struct incoming *i = calloc(1, sizeof *i);
+  if (!i) abort();
+  i->p = p;
+  i->fd = fd;
+  ev_io_init(&i->rd, on_in, fd, EV_READ);
+  i->rd.data = i;
+  ev_io_start(l, &i->rd);
+  DL_APPEND(p->in, i);
+  p->n_in++;
+}
+
+/* ------------------------------------------------------------ sending */
+
+static void out_close(struct peer *q) {
+  if (q->fd < 0) return;
+  ev_io_stop(q->p->c->loop, &q->wr);
+  close(q->fd);
+  q->fd = -1;
+  q->out.n = q->sent = 0;
+}
+
+static void on_out(struct ev_loop *l, ev_io *w, int ev) {
+  (void)ev;
+  struct peer *q = w->data;
+  if (q->connecting) {
+    int err = 0;
+    socklen_t n = sizeof err;
+    getsockopt(q->fd, SOL_SOCKET, SO_ERROR, &err, &n);
+    if (err) {
+      if (err == ECONNREFUSED) {
+        q->refused_at = tmx_now();
+        q->refusals++;
+      }
+      out_close(q);
+      return;
+    }
+    q->connecting = false;
+    q->refusals = 0;
+  }
+  while (q->sent < q->out.n) {
+    ssize_t k = send(q->fd, q->out.p + q->sent, q->out.n - q->sent, MSG_NOSIGNAL);
+    if (k < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) return;
+    if (k <= 0) {
+      out_close(q);
+      return;
+    }
+    q->sent += (size_t)k;
+  }
+  q->out.n = q->sent = 0;
+  ev_io_stop(l, &q->wr);
+}
+
+static void open_to(struct peer *q, double now) {
+  int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0), one = 1;
+  if (fd < 0) return;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  q->opened_at = q->stuck_at = now;
+  if (connect(fd, (struct sockaddr *)&q->addr, sizeof q->addr) && errno != EINPROGRESS) {
+    if (errno == ECONNREFUSED) {
+      q->refused_at = now;
+      q->refusals++;
+    }
+    close(fd);
+    return;
+  }
+  q->fd = fd;
+  q->connecting = true;
+  ev_io_init(&q->wr, on_out, fd, EV_WRITE);
+  q->wr.data = q;
+  ev_io_start(q->p->c->loop, &q->wr);
+}
+
+struct gather {
+  tmx_heard *v;
+  size_t n, cap;
+};
+static void gather_one(void *arg, const char *id, double age, uint64_t session, bool notice) {
+  struct gather *g = arg;
+  if (g->n == TMX_BEAT_MACHINES || age > 120) return;
+  if (g->n == g->cap) {
+    g->cap = g->cap ? g->cap * 2 : 64;
+    g->v = realloc(g->v, g->cap * sizeof *g->v);
+    if (!g->v) abort();
+  }
+  tmx_heard *h = &g->v[g->n++];
+  memset(h, 0, sizeof *h);
+  h->id = (char *)id;
+  h->age_ms = (u_int)(age * 1000);
+  h->session = (u_int)session;
+  h->running = TRUE;
+  h->notice = notice;
+}
+
+static void send_beats(struct tmx_peers *p) {
+  struct tmx_ctl *c = p->c;
+  struct gather g = {0};
+  tmx_workers_each(c->workers, gather_one, &g);
+  double age = tmx_now() - tmx_link_confirmed(c->link);
+  tmx_beat b = {.node = c->set.node,
+                .run = tmx_link_inc(c->link),
+                .revision = c->rep.rev,
+                .state_age_ms = age > 1e6 ? UINT32_MAX : (u_int)(age * 1000),
+                .leading = tmx_link_leading(c->link),
+                .heard = {.heard_len = (u_int)g.n, .heard_val = g.v}};
+  u_int size = (u_int)xdr_sizeof((xdrproc_t)xdr_tmx_beat, &b);
+  char *buf = malloc(size + 4);
+  if (!buf) abort();
+  XDR x;
+  xdrmem_create(&x, buf + 4, size, XDR_ENCODE);
+  bool ok = xdr_tmx_beat(&x, &b);
+  uint32_t len = htonl(xdr_getpos(&x));
+  memcpy(buf, &len, 4);
+  for (size_t i = 0; ok && i < p->n; i++) {
+    struct peer *q = &p->peers[i];
+    if (q->fd < 0 || q->connecting || q->out.n) continue; /* a stuck peer gets the next one */
+    tmx_buf_add(&q->out, buf, 4 + ntohl(len));
+    ev_io_start(c->loop, &q->wr);
+  }
+  xdr_destroy(&x);
+  free(buf);
+  free(g.v);
+}
+
+void tmx_peers_tick(struct tmx_peers *p) {
+  double now = tmx_now();
+  if (now - p->sent_at < TMX_BEAT_S) return;
+  p->sent_at = now;
+  for (size_t i = 0; i < p->n; i++) {
+    struct peer *q = &p->peers[i];
+    if (!q->out.n && !q->connecting) q->stuck_at = now;
+    if (q->fd >= 0 && now - q->stuck_at > TMX_BEAT_LOST_S) out_close(q);
+    if (q->fd < 0) open_to(q, now);
+  }
+  send_beats(p);
+}
+
+double tmx_peers_silence(const struct tmx_peers *p, const char *node) {
+  for (size_t i = 0; i < p->n; i++)
+    if (!strcmp(p->peers[i].name, node))
+      return p->peers[i].beat_at ? tmx_now() - p->peers[i].beat_at : 1e9;
+  return 1e9;
+}
+
+bool tmx_peers_refused(const struct tmx_peers *p, const char *node) {
+  double now = tmx_now();
+  for (size_t i = 0; i < p->n; i++) {
+    const struct peer *q = &p->peers[i];
+    if (!strcmp(q->name, node))
+      return q->refusals >= 2 && now - q->refused_at < 2 * TMX_BEAT_DEAD_S &&
+             now - q->beat_at > TMX_BEAT_DEAD_S;
+  }
+  return false;
+}
+
+double tmx_peers_heard(const struct tmx_peers *p, const char *machine, const char *only,
+                       bool *notice) {
+  double best = 1e9, now = tmx_now();
+  for (size_t i = 0; i < p->n; i++) {
+    const struct peer *q = &p->peers[i];
+    if (only && strcmp(q->name, only)) continue;
+    if (!q->beat_at || now - q->beat_at > 60) continue;
+    for (size_t k = 0; k < q->n_heard; k++) {
+      if (strcmp(q->heard[k].id, machine)) continue;
+      double age = q->heard[k].age + (now - q->beat_at);
+      if (age < best) {
+        best = age;
+        if (notice) *notice = q->heard[k].notice;
+      }
+    }
+  }
+  return best;
+}
+
+struct tmx_peers *tmx_peers_new(struct tmx_ctl *c) {
+  struct sockaddr_in a;
+  int one = 1;
+  if (!to_addr(c->set.peer_listen, &a)) return NULL;
+  int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) return NULL;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  if (bind(fd, (struct sockaddr *)&a, sizeof a) || listen(fd, 64)) {
+    close(fd);
+    return NULL;
+  }
+  struct tmx_peers *p = calloc(1, sizeof *p);
+  if (!p) abort();
+  p->c = c;
+  p->fd = fd;
+  for (size_t i = 0; i < c->set.n_peers; i++) {
+    struct peer *q = &p->peers[p->n++];
+    q->p = p;
+    q->fd = -1;
+    snprintf(q->name, sizeof q->name, "%s", c->set.peers[i].name);
+    to_addr(c->set.peers[i].addr, &q->addr);
+  }
+  ev_io_init(&p->acc, on_acc, fd, EV_READ);
+  p->acc.data = p;
+  ev_io_start(c->loop, &p->acc);
+  return p;
+}
+
+void tmx_peers_free(struct tmx_peers *p) {
+  ev_io_stop(p->c->loop, &p->acc);
+  close(p->fd);
+  while (p->in) in_close(p->in);
+  for (size_t i = 0; i < p->n; i++) {
+    out_close(&p->peers[i]);
+    tmx_buf_free(&p->peers[i].out);
+    free(p->peers[i].heard);
+  }
+  free(p);
+}
--- /dev/null
+++ b/src/state/replica.h
@@ -0,0 +1,179 @@
+/* The replica: every controller's copy of the state keys at one revision. Pure: it is fed
+ * with keys and events and does no I/O. */
+#ifndef TMX_REPLICA_H
+#define TMX_REPLICA_H
+#include <stdint.h>
+#include <uthash.h>
+
+#include "config/settings.h"
+#include "net/cbor.h"
+
+#define TMX_KEYS "t/"
+#define TMX_K_JOB TMX_KEYS "job/"
+#define TMX_K_BATCH TMX_KEYS "batch/"
+#define TMX_K_DONE TMX_KEYS "done/"
+#define TMX_K_MACHINE TMX_KEYS "machine/"
+#define TMX_K_NODE TMX_KEYS "node/"
+#define TMX_K_HIRE TMX_KEYS "hire/"
+#define TMX_K_LEADER TMX_KEYS "leader"
+#define TMX_K_VIEW TMX_KEYS "view"
+#define TMX_K_HEAD TMX_KEYS "head"
+
+enum tmx_fin { TMX_OPEN, TMX_FIN_DONE, TMX_FIN_CANCELLED };
+enum tmx_task_state { TMX_WAITING, TMX_PLACED, TMX_TASK_DONE };
+enum { TMX_PRIO_LOW, TMX_PRIO_NORMAL, TMX_PRIO_HIGH, TMX_PRIO_PROD };
+
+struct tmx_spec {
+  char class[TMX_NAME_MAX], team[TMX_NAME_MAX], image[TMX_NAME_MAX], zone[TMX_NAME_MAX];
+  char types[TMX_TYPES_MAX][TMX_ID_MAX];
+  size_t n_types; /* 0: any */
+  bool service, one_zone, spread, spot;
+  int priority;
+  uint32_t tasks;
+  double cpus, gpus, mem, image_gb, estimate_s, checkpoint_s, save_s, deadline_s; /* <0: none */
+};
+
+#define TMX_IMAGES_KEPT 12
+struct tmx_image {
+  char name[TMX_NAME_MAX];
+  double gb;
+};
+
+struct tmx_job;
+struct tmx_machine;
+struct tmx_task {
+  struct tmx_job *job;
+  struct tmx_machine *machine; /* while placed */
+  struct tmx_task *prev, *next; /* on the machine */
+  uint32_t attempt;
+  uint8_t state, stop; /* stop: 0 no, 1 at once, 2 after saving */
+  float placed_at;     /* s, steady clock of this process, when it was first seen placed */
+  float seen_at;       /* s; the worker reported it running; 0: not yet */
+  bool ending;         /* its end is in the batch being made */
+};
+struct tmx_job {
+  char id[TMX_ID_MAX];
+  uint64_t stamp; /* version of its key */
+  struct tmx_spec spec;
+  double submitted; /* time of day, s */
+  double loaded_at; /* steady clock, s */
+  int fin, team;
+  struct tmx_task *tasks;
+  uint32_t n_done, n_placed, first_wait;
+  uint32_t fails; /* errors in a row */
+  double retry_at;
+  uint32_t n_ending; /* of the batch being made: tasks that end as done */
+  int plan_index;    /* of the round being made */
+  char bad_machine[4][TMX_ID_MAX]; /* where it failed lately */
+  unsigned bad_at;
+  UT_hash_handle hh;
+};
+struct tmx_machine {
+  char id[TMX_ID_MAX], addr[TMX_NAME_MAX], type[TMX_ID_MAX];
+  int zone; /* index, -1: unknown */
+  bool spot, known, drain; /* known: its key exists */
+  uint64_t stamp;
+  struct tmx_task *tasks; /* placed here */
+  uint32_t n_tasks;
+  double cpus, gpus, mem; /* booked */
+  uint32_t errors;        /* failures in a row, and of how many jobs at least */
+  char error_job[TMX_ID_MAX];
+  bool error_two;
+  struct tmx_image images[TMX_IMAGES_KEPT]; /* latest first, as the log tells */
+  size_t n_images;
+  int plan_index; /* of the round being made */
+
+  UT_hash_handle hh;
+};
+struct tmx_member {
+  char name[TMX_NAME_MAX];
+  uint64_t inc; /* version of its node key: which run of the process */
+};
+struct tmx_exception {
+  char machine[TMX_ID_MAX], node[TMX_NAME_MAX];
+};
+struct tmx_view {
+  uint64_t stamp, term;
+  struct tmx_member members[TMX_MEMBERS_MAX];
+  size_t n_members;
+  struct tmx_exception *exceptions;
+  size_t n_exceptions;
+};
+struct tmx_log_key { /* a batch key that still stands */
+  char *key;
+  uint64_t stamp;
+  UT_hash_handle hh;
+};
+struct tmx_usage {
+  double cpus, gpus;
+};
+
+struct tmx_replica {
+  const struct tmx_settings *set;
+  bool loaded;
+  uint64_t rev, head, load_until;
+  struct tmx_job *jobs;
+  struct tmx_machine *machines;
+  struct tmx_view view;
+  struct tmx_member nodes[TMX_MEMBERS_MAX];
+  size_t n_nodes;
+  char leader[TMX_NAME_MAX];
+  uint64_t leader_stamp, leader_inc;
+  struct tmx_log_key *batches, *hires;
+  struct tmx_usage usage[TMX_TEAMS_MAX];
+  double now; /* steady clock at the latest event, set by the caller */
+  /* told of what changed; may be NULL */
+  void *arg;
+  void (*on_machine)(void *arg, struct tmx_machine *m); /* its tasks or orders changed */
+  void (*on_gone)(void *arg, struct tmx_machine *m);    /* its key was dropped */
+  void (*on_change)(void *arg);                         /* something worth a round */
+};
+
+void tmx_replica_init(struct tmx_replica *r, const struct tmx_settings *s);
+void tmx_replica_clear(struct tmx_replica *r);
+struct tmx_item { /* for loading: in order of version, then key */
+  char *key;
+  uint64_t stamp;
+  const cbor_item_t *value;
+};
+/* value NULL: dropped */
+void tmx_replica_apply(struct tmx_replica *r, const char *key, uint64_t stamp,
+                       const cbor_item_t *value);
+void tmx_replica_load(struct tmx_replica *r, struct tmx_item *items, size_t n);
+void tmx_replica_reached(struct tmx_replica *r, uint64_t rev); /* all events to rev applied */
+
+struct tmx_job *tmx_job_find(const struct tmx_replica *r, const char *id);
+struct tmx_machine *tmx_machine_find(const struct tmx_replica *r, const char *id);
+const char *tmx_owner_of(const struct tmx_replica *r, const char *machine);  /* NULL: no view */
+const char *tmx_planner_of(const struct tmx_replica *r, const char *job);
+const struct tmx_member *tmx_member_find(const struct tmx_replica *r, const char *name);
+static inline uint32_t tmx_task_index(const struct tmx_task *t);
+
+/* wire forms */
+bool tmx_spec_parse(const cbor_item_t *m, struct tmx_spec *s, char *id, size_t id_cap);
+void tmx_job_encode(struct tmx_buf *b, const struct tmx_spec *s, double submitted, int fin);
+bool tmx_task_parse(const char *s, char *job, size_t cap, uint32_t *index);
+void tmx_view_encode(struct tmx_buf *b, const struct tmx_view *v);
+#define TMX_OP_PLACE 'p'
+#define TMX_OP_STOP 's'
+#define TMX_OP_END 'e'
+/* how an attempt ended */
+#define TMX_END_DONE 'd'
+#define TMX_END_STOPPED 's'
+#define TMX_END_ERROR 'e'
+#define TMX_END_REFUSED 'r'
+#define TMX_END_LOST 'l'
+struct tmx_op {
+  char op;
+  char job[TMX_ID_MAX];
+  uint32_t task, attempt;
+  char machine[TMX_ID_MAX]; /* place */
+  char how;                 /* end: TMX_END_*; stop: '1' at once, '2' after saving */
+};
+int tmx_op_print(char *out, size_t cap, const struct tmx_op *o);
+bool tmx_op_parse(const char *s, struct tmx_op *o);
+
+static inline uint32_t tmx_task_index(const struct tmx_task *t) {
+  return (uint32_t)(t - t->job->tasks);
+}
+#endif
--- /dev/null
+++ b/src/user/user.c
@@ -0,0 +1,289 @@
+/* Users: submissions, polls, cancellations. Nothing is answered before it is sure, and nothing
+ * is held back: what cannot be decided gets a 503 that says when to return. */
+#include <http_parser.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "controller.h"
+#include "net/log.h"
+#include "tmx/wire.h"
+
+struct tmx_users {
+  struct tmx_ctl *c;
+  int waiting;
+};
+
+enum kind { ASK_POLL, ASK_SUBMIT, ASK_CANCEL };
+struct ask { /* a request that waits for the state */
+  struct tmx_users *u;
+  struct tmx_req *req;
+  enum kind kind;
+  char id[TMX_ID_MAX];
+  int otherwise; /* status for an unknown job */
+  int tries;
+  double until;
+};
+
+struct tmx_users *tmx_users_new(struct tmx_ctl *c) {
+  struct tmx_users *u = calloc(1, sizeof *u);
+  if (!u) abort();
+  u->c = c;
+  return u;
+}
+void tmx_users_free(struct tmx_users *u) { free(u); }
+
+static void refuse(struct tmx_req *q) { tmx_req_reply(q, 503, NULL, tmx_retry_after()); }
+
+static void answer_named(struct tmx_req *q, int status, const char *id, const char *state,
+                         const struct tmx_job *j) {
+  struct tmx_buf b = {0};
+  tmx_w_map(&b, j ? 4 : 2);
+  tmx_w_kstr(&b, W_ID, id);
+  tmx_w_kstr(&b, W_STATE, state);
+  if (j) {
+    tmx_w_ku64(&b, W_DONE, j->n_done);
+    tmx_w_ku64(&b, W_RUNNING, j->fin ? 0 : j->n_placed);
+  }
+  tmx_req_reply(q, status, &b, 0);
+  tmx_buf_free(&b);
+}
+
+static void answer_job(struct tmx_req *q, const struct tmx_job *j) {
+  const char *s = j->fin == TMX_FIN_DONE        ? WV_DONE
+                  : j->fin == TMX_FIN_CANCELLED ? WV_CANCELLED
+                  : j->n_placed                 ? WV_RUNNING
+                                                : WV_PENDING;
+  answer_named(q, 200, j->id, s, j);
+}
+
+static bool id_ok(const char *s) {
+  size_t n = strlen(W_JOB_PREFIX), len = strlen(s);
+  if (len <= n || len >= TMX_ID_MAX || strncmp(s, W_JOB_PREFIX, n)) return false;
+  for (s += n; *s; s++)
+    if (!strchr("0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ_.-", *s)) return false;
+  return true;
+}
+
+static void cancel_step(struct ask *a);
+
+static void done(struct ask *a) {
+  a->u->waiting--;
+  free(a);
+}
+
+static void on_confirm(void *arg, bool ok) {
+  struct ask *a = arg;
+  struct tmx_job *j = ok ? tmx_job_find(&a->u->c->rep, a->id) : NULL;
+  if (!ok)
+    refuse(a->req);
+  else if (!j)
+    tmx_req_reply(a->req, a->otherwise, NULL, a->otherwise == 503 ? tmx_retry_after() : 0);
+  else if (a->kind == ASK_CANCEL && !j->fin) {
+    cancel_step(a);
+    return;
+  } else if (a->kind == ASK_CANCEL)
+    answer_named(a->req, 200, a->id, j->fin == TMX_FIN_DONE ? WV_DONE : WV_CANCELLED, NULL);
+  else
+    answer_job(a->req, j);
+  done(a);
+}
+
+/* Waits until the replica holds all that was committed before this request came. */
+static void ask(struct tmx_users *u, struct tmx_req *q, enum kind kind, const char *id,
+                int otherwise) {
+  struct ask *a = calloc(1, sizeof *a);
+  if (!a || u->waiting >= TMX_USER_QUEUE) {
+    free(a);
+    refuse(q);
+    return;
+  }
+  double within = kind == ASK_POLL ? TMX_USER_WAIT_S : TMX_SUBMIT_WAIT_S;
+  a->u = u;
+  a->req = q;
+  a->kind = kind;
+  a->otherwise = otherwise;
+  a->until = tmx_now() + within;
+  snprintf(a->id, sizeof a->id, "%s", id);
+  u->waiting++;
+  if (!tmx_link_confirm(u->c->link, within, on_confirm, a)) {
+    refuse(q);
+    done(a);
+  }
+}
+
+/* ------------------------------------------------------------ cancellations */
+
+static void on_cancelled(void *arg, int res, uint64_t rev) {
+  struct ask *a = arg;
+  (void)rev;
+  if (res == TMX_TXN_OK) {
+    answer_named(a->req, 200, a->id, WV_CANCELLED, NULL);
+    done(a);
+    return;
+  }
+  if (res == TMX_TXN_CONFLICT && ++a->tries < 8 && tmx_now() < a->until &&
+      tmx_link_confirm(a->u->c->link, a->until - tmx_now(), on_confirm, a))
+    return;
+  refuse(a->req); /* not known: the user asks again and is told then */
+  done(a);
+}
+
+static void cancel_step(struct ask *a) {
+  struct tmx_ctl *c = a->u->c;
+  struct tmx_job *j = tmx_job_find(&c->rep, a->id);
+  struct tmx_txn t = {0};
+  struct tmx_buf v = {0};
+  char key[TMX_PATH_MAX];
+  snprintf(key, sizeof key, TMX_K_JOB "%s", a->id);
+  /* Conditional on the job's own key, which also its completion rewrites; head is rewritten,
+   * so that no batch planned before this can start one of its tasks. */
+  tmx_txn_if(&t, key, j->stamp);
+  tmx_job_encode(&v, &j->spec, j->submitted, TMX_FIN_CANCELLED);
+  tmx_txn_put(&t, key, &v, 0);
+  tmx_txn_head(&t, c->set.node);
+  tmx_buf_free(&v);
+  if (!tmx_link_commit(c->link, &t, true, on_cancelled, a)) {
+    refuse(a->req);
+    done(a);
+  }
+}
+
+/* ------------------------------------------------------------ submissions */
+
+static void on_submitted(void *arg, int res, uint64_t rev) {
+  struct ask *a = arg;
+  (void)rev;
+  if (res == TMX_TXN_OK) {
+    answer_named(a->req, 201, a->id, WV_PENDING, NULL);
+    done(a);
+  } else if (res == TMX_TXN_CONFLICT && /* known already: its state is read first */
+             tmx_link_confirm(a->u->c->link, TMX_SUBMIT_WAIT_S, on_confirm, a)) {
+    a->otherwise = 503;
+  } else {
+    refuse(a->req);
+    done(a);
+  }
+}
+
+/* 0: may run; 422: never; 503: cannot be told yet */
+static int judge(struct tmx_ctl *c, const struct tmx_spec *s) {
+  size_t n;
+  const struct tmx_type *ty = tmx_cloud_types(c->cloud, &n);
+  int team = tmx_team_index(&c->set, s->team);
+  if (team < 0) return 422;
+  const struct tmx_team_conf *t = &c->set.teams[team];
+  double k = s->service ? s->tasks : 1;
+  if (t->cpus_max > 0 && k * s->cpus > t->cpus_max + 1e-6) return 422;
+  if (t->gpus_max > 0 && k * s->gpus > t->gpus_max + 1e-6) return 422;
+  if (!n) return 503;
+  int zone = s->zone[0] ? tmx_zone_index(&c->set, s->zone) : -1;
+  if (s->zone[0] && zone < 0) return 422;
+  for (size_t i = 0; i < n; i++) {
+    if (!tmx_type_allowed(s, ty[i].name)) continue;
+    if (zone >= 0 && !ty[i].zones[zone]) continue;
+    if (s->cpus <= ty[i].cpus + 1e-6 && s->gpus <= ty[i].gpus + 1e-6 && s->mem <= ty[i].mem + 1e-6)
+      return 0;
+  }
+  return 422;
+}
+
+static void submit(struct tmx_users *u, struct tmx_req *q) {
+  struct tmx_ctl *c = u->c;
+  struct tmx_spec spec;
+  char id[TMX_ID_MAX] = "";
+  cbor_item_t *m = tmx_cbor_parse(q->body, q->body_len);
+  bool named = m && tmx_r_kstr(m, W_ID, id, sizeof id) && id_ok(id);
+  bool whole = named && tmx_spec_parse(m, &spec, id, sizeof id);
+  tmx_cbor_free(m);
+  if (!named) {
+    tmx_req_reply(q, 400, NULL, 0);
+    return;
+  }
+  if (!c->rep.loaded) {
+    refuse(q);
+    return;
+  }
+  /* A known job is answered before any validation: what was accepted stays accepted. */
+  struct tmx_job *j = tmx_job_find(&c->rep, id);
+  if (j && j->fin) {
+    answer_job(q, j);
+    return;
+  }
+  int verdict = j ? 503 : whole ? judge(c, &spec) : 400;
+  if (verdict) {
+    ask(u, q, ASK_SUBMIT, id, verdict);
+    return;
+  }
+  struct ask *a = calloc(1, sizeof *a);
+  if (!a || u->waiting >= TMX_USER_QUEUE || tmx_link_budget(c->link) < -c->set.write_rps / 3) {
+    free(a);
+    refuse(q);
+    return;
+  }
+  a->u = u;
+  a->req = q;
+  a->kind = ASK_SUBMIT;
+  snprintf(a->id, sizeof a->id, "%s", id);
+  u->waiting++;
+  struct tmx_txn t = {0};
+  struct tmx_buf v = {0};
+  char key[TMX_PATH_MAX];
+  snprintf(key, sizeof key, TMX_K_JOB "%s", id);
+  tmx_txn_if(&t, key, 0);
+  tmx_job_encode(&v, &spec, tmx_wall(), TMX_OPEN);
+  tmx_txn_put(&t, key, &v, 0);
+  bool big = v.n > c->set.value_kb * 900;
+  tmx_buf_free(&v);
+  if (big) {
+    tmx_buf_free(&t.conds);
+    tmx_buf_free(&t.ops);
+    tmx_req_reply(q, 400, NULL, 0);
+    done(a);
+  } else if (!tmx_link_commit(c->link, &t, true, on_submitted, a)) {
+    refuse(q);
+    done(a);
+  }
+}
+
+bool tmx_users_handle(struct tmx_users *u, struct tmx_req *q) {
+  static const char base[] = WP_JOBS;
+  char id[TMX_PATH_MAX];
+  if (strncmp(q->path, base, sizeof base - 1)) return false;
+  const char *rest = q->path + sizeof base - 1;
+  if (!*rest) {
+    if (q->method == HTTP_POST)
+      submit(u, q);
+    else
+      tmx_req_reply(q, 405, NULL, 0);
+    return true;
+  }
+  if (*rest++ != '/') return false;
+  snprintf(id, sizeof id, "%s", rest);
+  char *q_mark = strchr(id, '?'), *slash;
+  if (q_mark) *q_mark = 0;
+  slash = strchr(id, '/');
+  bool cancel = slash && !strcmp(slash, WP_CANCEL);
+  if (slash && !cancel) return false;
+  if (slash) *slash = 0;
+  if ((cancel && q->method != HTTP_POST) || (!cancel && q->method != HTTP_GET)) {
+    tmx_req_reply(q, 405, NULL, 0);
+    return true;
+  }
+  if (!id_ok(id)) {
+    tmx_req_reply(q, 404, NULL, 0);
+    return true;
+  }
+  if (!u->c->rep.loaded) {
+    refuse(q);
+    return true;
+  }
+  struct tmx_job *j = tmx_job_find(&u->c->rep, id);
+  if (j && j->fin && cancel)
+    answer_named(q, 200, id, j->fin == TMX_FIN_DONE ? WV_DONE : WV_CANCELLED, NULL);
+  else if (j && j->fin)
+    answer_job(q, j); /* a final state never changes: no read is needed */
+  else
+    ask(u, q, cancel ? ASK_CANCEL : ASK_POLL, id, 404);
+  return true;
+}
--- /dev/null
+++ b/tests/test_net.c
@@ -0,0 +1,171 @@
+/* The decoder against garbage, with fixed seeds, and the settings. */
+#include "test.h"
+
+#include <gsl/gsl_rng.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config/settings.h"
+#include "net/cbor.h"
+#include "state/replica.h"
+#include "tmx/constants.h"
+
+static void round_trip(void **st) {
+  (void)st;
+  struct tmx_buf b = {0};
+  char s[16];
+  uint64_t u;
+  double d;
+  bool y;
+  tmx_w_map(&b, 4);
+  tmx_w_kstr(&b, "a", "text");
+  tmx_w_ku64(&b, "b", UINT64_MAX);
+  tmx_w_knum(&b, "c", 4.5);
+  tmx_w_kbool(&b, "d", true);
+  cbor_item_t *m = tmx_cbor_parse(b.p, b.n);
+  assert_non_null(m);
+  assert_true(tmx_r_kstr(m, "a", s, sizeof s) && !strcmp(s, "text"));
+  assert_true(tmx_r_ku64(m, "b", &u) && u == UINT64_MAX);
+  assert_true(tmx_r_knum(m, "c", &d) && d == 4.5);
+  assert_true(tmx_r_kbool(m, "d", &y) && y);
+  assert_false(tmx_r_kstr(m, "a", s, 4)); /* does not fit */
+  assert_false(tmx_r_ku64(m, "a", &u));
+  assert_null(tmx_r_get(m, "e"));
+  tmx_cbor_free(m);
+  for (size_t i = 0; i < b.n; i++) assert_null(tmx_cbor_parse(b.p, i)); /* truncated */
+  tmx_buf_add(&b, "x", 1);
+  assert_null(tmx_cbor_parse(b.p, b.n)); /* more than one item */
+  tmx_buf_free(&b);
+}
+
+static void hostile_bodies(void **st) {
+  (void)st;
+  /* a list that claims 2^60 members, a text that claims 2^40 bytes, an endless list, a tag */
+  static const uint8_t list[] = {0x9b, 0x10, 0, 0, 0, 0, 0, 0, 0, 0x01};
+  static const uint8_t map[] = {0xbb, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x01};
+  static const uint8_t text[] = {0x7b, 0, 0, 1, 0, 0, 0, 0, 0, 'a'};
+  static const uint8_t open[] = {0x9f, 0x01, 0x02};
+  static const uint8_t brk[] = {0xff};
+  static const uint8_t tag[] = {0xc0, 0x01};
+  assert_null(tmx_cbor_parse(list, sizeof list));
+  assert_null(tmx_cbor_parse(map, sizeof map));
+  assert_null(tmx_cbor_parse(text, sizeof text));
+  assert_null(tmx_cbor_parse(open, sizeof open));
+  assert_null(tmx_cbor_parse(brk, sizeof brk));
+  assert_null(tmx_cbor_parse(tag, sizeof tag));
+  assert_null(tmx_cbor_parse(NULL, 0));
+  uint8_t deep[4096];
+  memset(deep, 0x81, sizeof deep);
+  deep[sizeof deep - 1] = 0x01;
+  assert_null(tmx_cbor_parse(deep, sizeof deep));
+  cbor_item_t *ok = tmx_cbor_parse(deep + sizeof deep - 8, 8);
+  assert_non_null(ok);
+  tmx_cbor_free(ok);
+}
+
+static void fuzzed_bodies(void **st) {
+  (void)st;
+  gsl_rng *g = gsl_rng_alloc(gsl_rng_mt19937);
+  gsl_rng_set(g, 7);
+  struct tmx_spec s = {.tasks = 3, .cpus = 1, .mem = 2, .deadline_s = 9}, back;
+  char id[TMX_ID_MAX];
+  struct tmx_buf b = {0};
+  strcpy(s.class, "c");
+  strcpy(s.team, "t");
+  strcpy(s.image, "i");
+  strcpy(s.types[0], "g8");
+  s.n_types = 1;
+  tmx_job_encode(&b, &s, 1.0, 0);
+  cbor_item_t *m = tmx_cbor_parse(b.p, b.n);
+  assert_non_null(m);
+  assert_true(tmx_spec_parse(m, &back, id, sizeof id));
+  assert_int_equal(back.tasks, 3);
+  assert_string_equal(back.types[0], "g8");
+  tmx_cbor_free(m);
+  unsigned parsed = 0;
+  for (int i = 0; i < 20000; i++) {
+    uint8_t copy[1024];
+    memcpy(copy, b.p, b.n);
+    for (unsigned k = 0; k <= gsl_rng_uniform_int(g, 4); k++)
+      copy[gsl_rng_uniform_int(g, b.n)] = (uint8_t)gsl_rng_uniform_int(g, 256);
+    m = tmx_cbor_parse(copy, b.n);
+    if (m && tmx_spec_parse(m, &back, id, sizeof id)) {
+      parsed++;
+      assert_in_range(back.tasks, 1, TMX_TASKS_MAX);
+      assert_true(back.cpus >= 0 && back.mem >= 0);
+    }
+    tmx_cbor_free(m);
+  }
+  assert_true(parsed > 0);
+  tmx_buf_free(&b);
+  gsl_rng_free(g);
+}
+
+static const char good[] =
+    "{\"host_name\":\"hand-0\",\"location\":\"a\",\"listen\":\"127.0.0.1:0\","
+    "\"peer_listen\":\"127.0.0.1:0\",\"peers\":[],\"new_field\":1,"
+    "\"services\":{\"cloud\":\"127.0.0.1:1\",\"state\":\"127.0.0.1:2\"},\"cluster\":{"
+    "\"zones\":[\"a\"],\"teams\":[{\"name\":\"t\"}],"
+    "\"workers\":{\"report_s\":3.0,\"lease_s\":20.0,\"cancel_s\":40.0},"
+    "\"state\":{\"rps\":200,\"write_rps\":40,\"value_kb\":16,\"txn_ops\":32},"
+    "\"cloud\":{\"rps\":10,\"list_lag_s\":8},"
+    "\"quota\":{\"core_share\":0.3,\"ram_mb\":264,\"sockets\":5000},\"clock_off_ms\":5}}";
+
+static void settings(void **st) {
+  (void)st;
+  struct tmx_settings s;
+  char err[256], text[2048];
+  assert_true(tmx_settings_parse(&s, good, err, sizeof err));
+  assert_string_equal(s.node, "hand-0");
+  assert_int_equal(s.txn_ops, 32);
+  static const char *fields[] = {"host_name", "peer_listen", "zones", "lease_s", "txn_ops",
+                                 "sockets", "state"};
+  for (size_t i = 0; i < sizeof fields / sizeof *fields; i++) {
+    char quoted[32];
+    snprintf(quoted, sizeof quoted, "\"%s\"", fields[i]);
+    strcpy(text, good);
+    char *at = strstr(text, quoted);
+    assert_non_null(at);
+    at[1] = 'X'; /* the field is missing now */
+    assert_false(tmx_settings_parse(&s, text, err, sizeof err));
+    assert_non_null(strstr(err, fields[i]));
+    assert_null(strchr(err, '\n'));
+  }
+  assert_false(tmx_settings_parse(&s, "[1]", err, sizeof err));
+  assert_false(tmx_settings_parse(&s, "{", err, sizeof err));
+}
+
+static bool operator_file(const char *text, char *err, size_t cap) {
+  struct tmx_operator o;
+  char path[] = "/tmp/tmx-op-XXXXXX";
+  int fd = mkstemp(path);
+  FILE *f = fdopen(fd, "w");
+  fputs(text, f);
+  fclose(f);
+  tmx_operator_defaults(&o);
+  bool ok = tmx_operator_load(&o, path, err, cap);
+  remove(path);
+  return ok;
+}
+
+static void operator_settings(void **st) {
+  (void)st;
+  char err[512];
+  assert_true(operator_file("idle_return_s = 90\nheadroom = 0.2\n", err, sizeof err));
+  assert_false(operator_file("idle_retrn_s = 90\n", err, sizeof err));
+  assert_non_null(strstr(err, "idle_retrn_s"));
+  assert_false(operator_file("headroom = 7.0\n", err, sizeof err));
+  assert_non_null(strstr(err, "headroom"));
+  assert_false(operator_file("headroom = ", err, sizeof err));
+  assert_null(strchr(err, '\n'));
+}
+
+int main(void) {
+  const struct CMUnitTest t[] = {
+      cmocka_unit_test(round_trip),     cmocka_unit_test(hostile_bodies),
+      cmocka_unit_test(fuzzed_bodies),  cmocka_unit_test(settings),
+      cmocka_unit_test(operator_settings),
+  };
+  return cmocka_run_group_tests(t, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_state.c
@@ -0,0 +1,217 @@
+/* The replica: the log, loading at mixed revisions, ownership. */
+#include "test.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "state/replica.h"
+
+static struct tmx_settings set;
+static struct tmx_replica rep;
+
+static int setup(void **st) {
+  (void)st;
+  memset(&set, 0, sizeof set);
+  strcpy(set.zones[0], "a");
+  set.n_zones = 1;
+  strcpy(set.teams[0].name, "t");
+  set.n_teams = 1;
+  tmx_replica_init(&rep, &set);
+  return 0;
+}
+static int teardown(void **st) {
+  (void)st;
+  tmx_replica_clear(&rep);
+  return 0;
+}
+
+static void put(const char *key, uint64_t stamp, struct tmx_buf *b) {
+  cbor_item_t *v = tmx_cbor_parse(b->p, b->n);
+  assert_non_null(v);
+  tmx_replica_apply(&rep, key, stamp, v);
+  tmx_cbor_free(v);
+  tmx_buf_free(b);
+}
+static void put_job(uint64_t stamp, int fin) {
+  struct tmx_spec s = {.tasks = 3, .cpus = 2, .mem = 1, .deadline_s = -1};
+  struct tmx_buf b = {0};
+  strcpy(s.class, "c");
+  strcpy(s.team, "t");
+  strcpy(s.image, "i");
+  tmx_job_encode(&b, &s, 5, fin);
+  put(TMX_K_JOB "wk-1", stamp, &b);
+}
+static void put_machine(uint64_t stamp) {
+  struct tmx_buf b = {0};
+  tmx_w_map(&b, 4);
+  tmx_w_kstr(&b, "addr", "127.0.0.1:1");
+  tmx_w_kstr(&b, "type", "big");
+  tmx_w_kstr(&b, "zone", "a");
+  tmx_w_kbool(&b, "spot", false);
+  put(TMX_K_MACHINE "n-1", stamp, &b);
+}
+static void put_batch(const char *seq, uint64_t stamp, const char *op) {
+  struct tmx_buf b = {0};
+  char key[64];
+  tmx_w_map(&b, 1);
+  tmx_w_str(&b, "ops");
+  tmx_w_list(&b, 1);
+  tmx_w_str(&b, op);
+  snprintf(key, sizeof key, TMX_K_BATCH "h/%s", seq);
+  put(key, stamp, &b);
+}
+static struct tmx_task *task(uint32_t i) { return &tmx_job_find(&rep, "wk-1")->tasks[i]; }
+
+static void log_of_one_task(void **st) {
+  (void)st;
+  rep.loaded = true;
+  put_job(1, 0);
+  put_machine(2);
+  put_batch("1", 3, "p wk-1/0 1 n-1");
+  assert_int_equal(task(0)->state, TMX_PLACED);
+  assert_true(rep.usage[0].cpus == 2);
+  put_batch("2", 4, "e wk-1/0 2 d"); /* another attempt's end says nothing of this one */
+  assert_int_equal(task(0)->state, TMX_PLACED);
+  put_batch("3", 5, "e wk-1/0 1 l");
+  assert_int_equal(task(0)->state, TMX_WAITING);
+  assert_int_equal(task(0)->attempt, 1);
+  put_batch("4", 6, "p wk-1/0 1 n-1"); /* a used attempt is never placed again */
+  assert_int_equal(task(0)->state, TMX_WAITING);
+  put_batch("5", 7, "p wk-1/0 2 n-1");
+  put_batch("6", 8, "e wk-1/0 2 d");
+  assert_int_equal(task(0)->state, TMX_TASK_DONE);
+  put_batch("7", 9, "p wk-1/0 3 n-1"); /* nor is a done task */
+  assert_int_equal(task(0)->state, TMX_TASK_DONE);
+  assert_true(rep.usage[0].cpus == 0);
+}
+
+static void dropped_machine_loses_its_tasks(void **st) {
+  (void)st;
+  rep.loaded = true;
+  put_job(1, 0);
+  put_machine(2);
+  put_batch("1", 3, "p wk-1/0 1 n-1");
+  put_batch("2", 3, "p wk-1/1 1 n-1");
+  tmx_replica_apply(&rep, TMX_K_MACHINE "n-1", 4, NULL);
+  assert_int_equal(task(0)->state, TMX_WAITING);
+  assert_int_equal(task(1)->state, TMX_WAITING);
+  assert_int_equal(tmx_job_find(&rep, "wk-1")->n_placed, 0);
+  assert_true(rep.usage[0].cpus == 0);
+  assert_null(tmx_machine_find(&rep, "n-1"));
+}
+
+static void cancelled_work_counts_until_it_is_gone(void **st) {
+  (void)st;
+  rep.loaded = true;
+  put_job(1, 0);
+  put_machine(2);
+  put_batch("1", 3, "p wk-1/0 1 n-1");
+  put_job(4, TMX_FIN_CANCELLED);
+  assert_int_equal(tmx_job_find(&rep, "wk-1")->fin, TMX_FIN_CANCELLED);
+  assert_true(rep.usage[0].cpus == 2);
+  put_batch("2", 5, "e wk-1/0 1 s");
+  assert_true(rep.usage[0].cpus == 0);
+}
+
+/* Pages of a load are read at different revisions, and the events in between come again. */
+static void load_at_mixed_revisions(void **st) {
+  (void)st;
+  rep.load_until = 9;
+  put_job(1, 0);
+  put_batch("9", 8, "p wk-1/0 2 n-1"); /* of a later page: read early */
+  put_machine(2);
+  put_batch("1", 3, "p wk-1/0 1 n-1"); /* ... and the events since the first page */
+  put_batch("2", 5, "e wk-1/0 1 s");
+  put_batch("9", 8, "p wk-1/0 2 n-1");
+  tmx_replica_reached(&rep, 9);
+  assert_true(rep.loaded);
+  assert_int_equal(task(0)->state, TMX_PLACED);
+  assert_int_equal(task(0)->attempt, 2);
+  assert_true(rep.usage[0].cpus == 2);
+}
+
+static void load_settles_lost_machines(void **st) {
+  (void)st;
+  rep.load_until = 9;
+  put_job(1, 0);
+  put_batch("1", 3, "p wk-1/0 1 n-1"); /* its machine's key is gone */
+  put_batch("2", 4, "p wk-1/1 1 n-1");
+  put_batch("3", 5, "e wk-1/1 1 d"); /* but this one was done before */
+  assert_false(rep.loaded);
+  tmx_replica_reached(&rep, 9);
+  assert_int_equal(task(0)->state, TMX_WAITING);
+  assert_int_equal(task(1)->state, TMX_TASK_DONE);
+}
+
+static void put_view(uint64_t stamp, size_t n, const char *taken_by) {
+  struct tmx_exception e;
+  struct tmx_view v = {.term = stamp, .n_members = n};
+  struct tmx_buf b = {0};
+  for (size_t i = 0; i < n; i++) {
+    snprintf(v.members[i].name, TMX_NAME_MAX, "hand-%zu", i);
+    v.members[i].inc = i + 1;
+  }
+  if (taken_by) {
+    strcpy(e.machine, "n-7");
+    strcpy(e.node, taken_by);
+    v.exceptions = &e;
+    v.n_exceptions = 1;
+  }
+  tmx_view_encode(&b, &v);
+  put(TMX_K_VIEW, stamp, &b);
+}
+
+static void ownership(void **st) {
+  (void)st;
+  char before[64][8], id[16];
+  int moved = 0, of[3] = {0};
+  assert_null(tmx_owner_of(&rep, "n-1"));
+  put_view(1, 3, NULL);
+  for (int i = 0; i < 64; i++) {
+    snprintf(id, sizeof id, "n-%06d", i);
+    snprintf(before[i], sizeof before[i], "%s", tmx_owner_of(&rep, id));
+    of[before[i][5] - '0']++;
+  }
+  for (int i = 0; i < 3; i++) assert_true(of[i] > 8); /* about a third each */
+  put_view(2, 2, NULL); /* hand-2 left: only its machines move */
+  for (int i = 0; i < 64; i++) {
+    snprintf(id, sizeof id, "n-%06d", i);
+    bool same = !strcmp(before[i], tmx_owner_of(&rep, id));
+    assert_true(same || !strcmp(before[i], "hand-2"));
+    moved += !same;
+  }
+  assert_int_equal(moved, of[2]);
+  put_view(3, 2, "hand-0");
+  assert_string_equal(tmx_owner_of(&rep, "n-7"), "hand-0");
+  put_view(4, 2, "hand-2"); /* an exception for one that left does not count */
+  assert_string_not_equal(tmx_owner_of(&rep, "n-7"), "hand-2");
+}
+
+static void op_lines(void **st) {
+  (void)st;
+  struct tmx_op o = {.op = TMX_OP_PLACE, .task = 99999, .attempt = 7}, p;
+  char s[128];
+  strcpy(o.job, "wk-000412");
+  strcpy(o.machine, "n-000231");
+  tmx_op_print(s, sizeof s, &o);
+  assert_true(tmx_op_parse(s, &p));
+  assert_string_equal(p.machine, "n-000231");
+  assert_int_equal(p.task, 99999);
+  assert_false(tmx_op_parse("p wk-1 1 n-1", &p));
+  assert_false(tmx_op_parse("x wk-1/0 1 n-1", &p));
+  assert_false(tmx_op_parse("p wk-1/0", &p));
+}
+
+int main(void) {
+  const struct CMUnitTest t[] = {
+      cmocka_unit_test_setup_teardown(log_of_one_task, setup, teardown),
+      cmocka_unit_test_setup_teardown(dropped_machine_loses_its_tasks, setup, teardown),
+      cmocka_unit_test_setup_teardown(cancelled_work_counts_until_it_is_gone, setup, teardown),
+      cmocka_unit_test_setup_teardown(load_at_mixed_revisions, setup, teardown),
+      cmocka_unit_test_setup_teardown(load_settles_lost_machines, setup, teardown),
+      cmocka_unit_test_setup_teardown(ownership, setup, teardown),
+      cmocka_unit_test(op_lines),
+  };
+  return cmocka_run_group_tests(t, NULL, NULL);
+}
