--- a/src/controller.c
+++ b/src/controller.c
@@ -446,6 +446,7 @@
       } else {
         o++;
       }
+      if (tmx_log_on(TMX_DEBUG)) tmx_log(TMX_DEBUG, "op: %s", line);
       tmx_w_str(&list, line);
       bytes += (size_t)n + 4;
       lines++;
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -147,11 +147,19 @@
   j->live[j->n_live++] = mi;
 }
 
+/* Services to people come first, then what teams are guaranteed, then the rest. */
+static int standing(const struct tmx_plan_job *j) {
+  return j->spec->priority == TMX_PRIO_PROD ? 2 : j->guaranteed;
+}
+
+/* Only work that also stands behind in the order of placing is stopped: anything else would be
+ * placed again in the very room that was made, and stopped again. Work that stands in no
+ * guarantee waits for room; stopping others for it would cost more than it gains. */
 static bool may_stop(const struct round *r, const struct tmx_plan_job *j,
                      const struct tmx_plan_running *v) {
   const struct tmx_plan_input *in = r->in;
   const struct tmx_plan_job *o = &in->jobs[v->job];
-  if (v->stopping) return false;
+  if (v->stopping || standing(j) <= standing(o)) return false;
   if (o->spec->priority < j->spec->priority) return true;
   if (!j->guaranteed || o->team == j->team || o->team < 0 || o->spec->service) return false;
   const struct tmx_team_conf *t = &in->teams[o->team];
@@ -228,8 +236,7 @@
 static int by_rank(const void *a, const void *b) {
   const struct tmx_plan_job *x = *(struct tmx_plan_job *const *)a,
                             *y = *(struct tmx_plan_job *const *)b;
-  int px = x->spec->priority == TMX_PRIO_PROD ? 2 : x->guaranteed;
-  int py = y->spec->priority == TMX_PRIO_PROD ? 2 : y->guaranteed;
+  int px = standing(x), py = standing(y);
   if (px != py) return py - px;
   if (x->spec->priority != y->spec->priority) return y->spec->priority - x->spec->priority;
   if (x->order != y->order) return x->order < y->order ? -1 : 1;
--- a/src/user/user.c
+++ b/src/user/user.c
@@ -155,6 +155,7 @@
   struct ask *a = arg;
   (void)rev;
   if (res == TMX_TXN_OK) {
+    if (tmx_log_on(TMX_DEBUG)) tmx_log(TMX_DEBUG, "job: %s accepted", a->id);
     answer_named(a->req, 201, a->id, WV_PENDING, NULL);
     done(a);
   } else if (res == TMX_TXN_CONFLICT && /* known already: its state is read first */
--- a/src/worker/worker.c
+++ b/src/worker/worker.c
@@ -190,7 +190,12 @@
       const struct load *l = &loads[i];
       if (l->attempt != t->attempt || l->task != tmx_task_index(t) || strcmp(l->job, t->job->id))
         continue;
-      if (l->state == LD_RUNNING && !t->seen_at) t->seen_at = (float)tmx_now();
+      if (l->state == LD_RUNNING && !t->seen_at) {
+        t->seen_at = (float)tmx_now();
+        if (tmx_log_on(TMX_DEBUG))
+          tmx_log(TMX_DEBUG, "task: %s/%u %u runs on %s, image %s", l->job, l->task, l->attempt,
+                  r->id, t->job->spec.image);
+      }
       if (l->state == LD_EXITED) {
         if (t->stop)
           tmx_ctl_kick(w->c); /* somebody waits for this room */
