--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -38,6 +38,8 @@
 #define TMX_ENDS_DELAY_S 0.25         /* completions wait this long to share a batch */
 #define TMX_LEADER_GRACE_S 0.4        /* a job's own controller goes first this long */
 #define TMX_WRITE_SHARE 0.85          /* of the write rate: the rest is for submissions */
+#define TMX_PATIENCE_S 10.0           /* a start without an aim: fetching this long is like a full
+                                         machine */
 #define TMX_PLAN_TASKS 400            /* tasks placed in one round at most */
 
 /* --- workers (s) --- */
--- a/src/controller.c
+++ b/src/controller.c
@@ -212,6 +212,15 @@
   return due;
 }
 
+/* How long a start may take: the class's own aim, or a plain wait. */
+static double patience_of(const struct tmx_ctl *c, const struct tmx_job *j) {
+  for (size_t i = 0; i < c->set.n_objectives; i++)
+    if (!strcmp(c->set.objectives[i].class_name, j->spec.class) &&
+        !strcmp(c->set.objectives[i].kind, "wait") && c->set.objectives[i].within_s > 0)
+      return c->set.objectives[i].within_s;
+  return TMX_PATIENCE_S;
+}
+
 static int by_submission(const void *a, const void *b) {
   const struct tmx_job *x = *(struct tmx_job *const *)a, *y = *(struct tmx_job *const *)b;
   if (x->submitted != y->submitted) return x->submitted < y->submitted ? -1 : 1;
@@ -303,6 +312,7 @@
     struct tmx_spec *copy = malloc(sizeof *copy);
     if (!copy) abort();
     *copy = j->spec;
+    copy->patience_s = patience_of(c, j);
     p->spec = copy;
     p->team = j->team;
     p->planner = member_index(r, tmx_planner_of(r, j->id));
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -54,7 +54,8 @@
 }
 
 /* The booked share of the most-asked resource; an image that must still be fetched counts as
- * room booked for the time of the fetch (ours: the measure is open in the design). */
+ * room booked, the more of it the less time the job's class has to start (ours: the measure is
+ * open in the design). */
 double tmx_booked_measure(const struct tmx_plan_machine *m, const struct tmx_spec *s) {
   double ask[3] = {m->cpus > 0 ? s->cpus / m->cpus : 0, m->gpus > 0 ? s->gpus / m->gpus : 0,
                    m->mem > 0 ? s->mem / m->mem : 0};
@@ -66,7 +67,7 @@
   double fetch = m->fetch > 0 ? s->image_gb / m->fetch : 0;
   for (size_t i = 0; i < m->n_images; i++)
     if (!strcmp(m->images[i].name, s->image)) fetch = 0;
-  return used[top] + fmin(fetch, 20) / 20;
+  return used[top] + fmin(fetch / s->patience_s, 3.0);
 }
 
 struct round {
--- a/src/state/replica.h
+++ b/src/state/replica.h
@@ -31,6 +31,7 @@
   int priority;
   uint32_t tasks;
   double cpus, gpus, mem, image_gb, estimate_s, checkpoint_s, save_s, deadline_s; /* <0: none */
+  double patience_s; /* a fetch this long weighs as much as a full machine; from the aims */
 };
 
 #define TMX_IMAGES_KEPT 12
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -42,6 +42,7 @@
   s->tasks = tasks;
   s->cpus = cpus;
   s->mem = 1;
+  s->patience_s = 10;
   s->priority = service ? TMX_PRIO_PROD : TMX_PRIO_NORMAL;
   strcpy(s->image, "img");
   j->spec = s;
