Start services where their image lies, stopping arrays for it if need be

Cause: on a full cluster the only free room was where the image had to be fetched first (2 to 3 s against an aim of 1 s), though the image lay on other machines. Room on those is now made first; only then a cold machine is taken.

--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -253,7 +253,7 @@
 
 static void drop_hire(struct hire_call *h) {
   struct tmx_txn t = {0};
-  char key[TMX_PATH_MAX];
+  char key[TMX_KEY_MAX + 1];
   snprintf(key, sizeof key, TMX_K_HIRE "%s", h->name);
   tmx_txn_drop(&t, key);
   tmx_link_commit(h->k->c->link, &t, false, NULL, NULL);
@@ -330,7 +330,7 @@
   struct hire_call *h = calloc(1, sizeof *h);
   struct tmx_txn t = {0};
   struct tmx_buf v = {0};
-  char key[TMX_PATH_MAX];
+  char key[TMX_KEY_MAX + 1];
   if (!h) abort();
   h->k = k;
   h->zone = o->zone;
@@ -426,7 +426,7 @@
         free(l);
       }
       if (!tmx_machine_find(&k->c->rep, d->ids[i])) continue;
-      char key[TMX_PATH_MAX];
+      char key[TMX_KEY_MAX + 1];
       snprintf(key, sizeof key, TMX_K_MACHINE "%s", d->ids[i]);
       tmx_txn_drop(&t, key);
     }
@@ -447,7 +447,7 @@
 static void drain(struct tmx_cloud *k, struct tmx_machine *m) {
   struct tmx_txn t = {0};
   struct tmx_buf v = {0};
-  char key[TMX_PATH_MAX];
+  char key[TMX_KEY_MAX + 1];
   snprintf(key, sizeof key, TMX_K_MACHINE "%s", m->id);
   tmx_w_map(&v, 5);
   tmx_w_kstr(&v, "addr", m->addr);
--- a/src/controller.c
+++ b/src/controller.c
@@ -398,7 +398,7 @@
   struct tmx_txn t = {0};
   size_t value_max = (size_t)(c->set.value_kb * 1024 * 0.85), bytes = 0, lines = 0;
   int spare = c->set.txn_ops - 1;
-  char key[TMX_PATH_MAX];
+  char key[TMX_KEY_MAX + 1];
   struct tmx_buf v = {0};
   double budget = tmx_link_budget(c->link);
   if (budget < spare + 1) spare = (int)floor(budget) - 1;
@@ -414,7 +414,7 @@
   struct tmx_worker_facts facts[8];
   size_t n_f = tmx_workers_unregistered(c->workers, facts, 8);
   for (size_t i = 0; i < n_f && spare > keep; i++, spare--) {
-    snprintf(key, sizeof key, TMX_K_MACHINE "%s", facts[i].id);
+    snprintf(key, sizeof key, TMX_K_MACHINE "%.*s", TMX_ID_MAX - 1, facts[i].id);
     v.n = 0;
     tmx_w_map(&v, 4);
     tmx_w_kstr(&v, "addr", facts[i].addr);
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -56,6 +56,12 @@
 /* The booked share of the most-asked resource; an image that must still be fetched counts as
  * room booked, the more of it the less time the job's class has to start (ours: the measure is
  * open in the design). */
+static double fetch_time(const struct tmx_plan_machine *m, const struct tmx_spec *s) {
+  for (size_t i = 0; i < m->n_images; i++)
+    if (!strcmp(m->images[i].name, s->image)) return 0;
+  return m->fetch > 0 ? s->image_gb / m->fetch : 0;
+}
+
 double tmx_booked_measure(const struct tmx_plan_machine *m, const struct tmx_spec *s) {
   double ask[3] = {m->cpus > 0 ? s->cpus / m->cpus : 0, m->gpus > 0 ? s->gpus / m->gpus : 0,
                    m->mem > 0 ? s->mem / m->mem : 0};
@@ -64,10 +70,7 @@
   int top = 0;
   for (int i = 1; i < 3; i++)
     if (ask[i] > ask[top]) top = i;
-  double fetch = m->fetch > 0 ? s->image_gb / m->fetch : 0;
-  for (size_t i = 0; i < m->n_images; i++)
-    if (!strcmp(m->images[i].name, s->image)) fetch = 0;
-  return used[top] + fmin(fetch / s->patience_s, 3.0);
+  return used[top] + fmin(fetch_time(m, s) / s->patience_s, 3.0);
 }
 
 struct round {
@@ -100,9 +103,14 @@
   return true;
 }
 
+/* The fetch alone would use up the time that the class has to start. */
+static bool is_cold(const struct tmx_plan_machine *m, const struct tmx_spec *s) {
+  return fetch_time(m, s) > s->patience_s * 0.6;
+}
+
 /* part: only machines of this member; -1: any. Returns a machine index or -1. */
 static int pick(const struct round *r, const struct tmx_plan_job *j, int part, bool soon,
-                uint32_t n_eligible) {
+                bool warm, uint32_t n_eligible) {
   const struct tmx_plan_input *in = r->in;
   uint32_t cap = tmx_machine_cap(j->spec, n_eligible);
   int best = -1;
@@ -114,6 +122,7 @@
       if (!eligible(j, m, in) || !room(m, j->spec, soon) || !zone_ok(j, m->zone, in)) continue;
       if (avoided(j, m) != (pass == 1)) continue;
       if (j->spec->service && live_on(j, (int)i) >= cap) continue;
+      if (warm && is_cold(m, j->spec)) continue;
       double v = tmx_booked_measure(m, j->spec);
       /* a service's zones are filled evenly first */
       if (j->spec->service) v += 4.0 * j->zone_live[m->zone];
@@ -169,7 +178,7 @@
 }
 
 /* Stops the cheapest tasks of one machine so that the task fits; true if room is on its way. */
-static bool make_room(struct round *r, struct tmx_plan_job *j, uint32_t n_eligible) {
+static bool make_room(struct round *r, struct tmx_plan_job *j, bool warm, uint32_t n_eligible) {
   struct tmx_plan_input *in = r->in;
   const struct tmx_spec *s = j->spec;
   int best = -1;
@@ -181,6 +190,7 @@
       struct tmx_plan_machine *m = &in->machines[i];
       if (!eligible(j, m, in) || !zone_ok(j, m->zone, in) || avoided(j, m)) continue;
       if (s->service && live_on(j, (int)i) >= cap) continue;
+      if (warm && is_cold(m, s)) continue;
       double c = m->cpus - m->ucpus + m->scpus, g = m->gpus - m->ugpus + m->sgpus,
              e = m->mem - m->umem + m->smem, cost = 0;
       bool chosen[256] = {false};
@@ -265,13 +275,35 @@
         break;
       }
       if (!quota_ok(&r, j)) break; /* waits for its own team, more machines would not help */
-      int m = pick(&r, j, j->planner, false, n_eligible);
-      bool mine = j->planner == in->self;
+      bool mine = j->planner == in->self, grace = j->waited <= in->grace;
+      int m = pick(&r, j, j->planner, false, true, n_eligible);
       if (m < 0) {
         /* too large for its part: the leader looks in every part */
-        m = pick(&r, j, -1, false, n_eligible);
+        m = pick(&r, j, -1, false, true, n_eligible);
+        if (m >= 0) mine = in->leading;
+      }
+      if (m < 0 && standing(j) == 2) {
+        /* Room is only where a fetch would make it late: room where the image lies comes first. */
+        int soon = pick(&r, j, -1, true, true, n_eligible);
+        if (soon >= 0) {
+          take(&r, j, soon, false);
+          out->unplaced++;
+          continue;
+        }
+        if (in->leading && make_room(&r, j, true, n_eligible)) {
+          out->unplaced++;
+          continue;
+        }
+        if (!in->leading && grace) {
+          out->unplaced += (uint32_t)(j->n_waits - w);
+          break;
+        }
+      }
+      if (m < 0) m = pick(&r, j, j->planner, false, false, n_eligible);
+      if (m < 0) {
+        m = pick(&r, j, -1, false, false, n_eligible);
         mine = in->leading;
-      } else if (!mine && in->leading && j->waited > in->grace) {
+      } else if (!mine && in->leading && !grace) {
         mine = true; /* its own controller does not get to it */
       }
       if (m >= 0) {
@@ -285,14 +317,14 @@
         take(&r, j, m, true); /* also room that another controller is about to use */
         continue;
       }
-      int soon = pick(&r, j, -1, true, n_eligible);
+      int soon = pick(&r, j, -1, true, false, n_eligible);
       if (soon >= 0) {
         take(&r, j, soon, false);
         out->unplaced++;
         continue;
       }
       out->unplaced++;
-      if (!in->leading || !make_room(&r, j, n_eligible)) no_room = true;
+      if (!in->leading || !make_room(&r, j, false, n_eligible)) no_room = true;
     }
   }
   free(order);
--- a/src/state/replica.h
+++ b/src/state/replica.h
@@ -9,6 +9,7 @@
 #include "net/cbor.h"
 
 #define TMX_KEYS "t/"
+#define TMX_KEY_MAX 200 /* bytes; PROTOCOL's limit */
 #define TMX_K_JOB TMX_KEYS "job/"
 #define TMX_K_BATCH TMX_KEYS "batch/"
 #define TMX_K_DONE TMX_KEYS "done/"
--- a/src/user/user.c
+++ b/src/user/user.c
@@ -134,7 +134,7 @@
   struct tmx_job *j = tmx_job_find(&c->rep, a->id);
   struct tmx_txn t = {0};
   struct tmx_buf v = {0};
-  char key[TMX_PATH_MAX];
+  char key[TMX_KEY_MAX + 1];
   snprintf(key, sizeof key, TMX_K_JOB "%s", a->id);
   /* Conditional on the job's own key, which also its completion rewrites; head is rewritten,
    * so that no batch planned before this can start one of its tasks. */
@@ -229,7 +229,7 @@
   u->waiting++;
   struct tmx_txn t = {0};
   struct tmx_buf v = {0};
-  char key[TMX_PATH_MAX];
+  char key[TMX_KEY_MAX + 1];
   snprintf(key, sizeof key, TMX_K_JOB "%s", id);
   tmx_txn_if(&t, key, 0);
   tmx_job_encode(&v, &spec, tmx_wall(), TMX_OPEN);
