Probe silent machines before giving them up; act sooner after a change of leader

A machine is now asked directly once it is silent for 1.7 report periods and given up after three lost probes.

--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -48,7 +48,11 @@
                                          owner cannot reach it: take it over */
 #define TMX_TAKE_WITHIN_S 20.0        /* ... and within this */
 #define TMX_HEARD_S 4.5               /* no report for this long: no new tasks on the machine */
-#define TMX_SILENT_REPORTS 2.7        /* report periods without any report: a machine is silent */
+#define TMX_SILENT_REPORTS 1.7        /* report periods without any report (they vary by a quarter):
+                                         a machine is silent and is probed */
+#define TMX_PROBE_S 1.0               /* between probes, and the wait for an answer */
+#define TMX_PROBES_LOST 3             /* in a row: the machine is given up */
+#define TMX_SETTLE_S 5.0              /* a new leader first hears its peers and the workers */
 #define TMX_SICK_ERRORS 4             /* errors in a row from two jobs or more: a faulty machine */
 #define TMX_RETRY_BASE_S 0.5          /* backoff of a job whose tasks fail: doubles a failure */
 #define TMX_RETRY_MAX_S 30.0          /* and ends here */
--- a/include/tmx/wire.h
+++ b/include/tmx/wire.h
@@ -9,6 +9,7 @@
 #define WP_READY "/ready"
 #define WP_REPORT "/hello"
 #define WP_COMMANDS "/commands"
+#define WP_STATUS "/show"
 #define WP_TYPES "/catalog"
 #define WP_MACHINES "/machines"
 #define WP_DELETE "/machines/delete"
--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -483,7 +483,7 @@
   size_t max = (size_t)c->set.txn_ops - 2;
   if (max > 50) max = 50;
   double silent = c->set.op.silent_s > 0 ? c->set.op.silent_s : c->set.report_s * TMX_SILENT_REPORTS;
-  bool settled = now - k->led_since > silent + 5 && peers_all_heard(c);
+  bool settled = now - k->led_since > TMX_SETTLE_S && peers_all_heard(c);
   bool waiting = false;
   struct tmx_job *j, *jt;
   HASH_ITER(hh, r->jobs, j, jt)
@@ -494,7 +494,7 @@
   HASH_ITER(hh, r->machines, m, mt) {
     if (!m->known) continue;
     n_known++;
-    if (tmx_workers_health(c->workers, m->id).age > silent) n_silent++;
+    if (tmx_workers_health(c->workers, m->id).alive_age > silent) n_silent++;
     const struct tmx_type *t = tmx_cloud_type(k, m->type);
     if (t && !m->drain) room += t->cpus - m->cpus;
     for (struct tmx_task *x = m->tasks; x; x = x->next)
@@ -507,10 +507,11 @@
     struct listed *l;
     HASH_FIND_STR(k->listed, m->id, l);
     const struct tmx_type *t = tmx_cloud_type(k, m->type);
-    double age = tmx_workers_health(c->workers, m->id).age;
+    double age = tmx_workers_health(c->workers, m->id).alive_age;
+    int lost = age > silent ? tmx_workers_probe(c->workers, m) : 0;
     const char *why = NULL;
     if (l && l->state == LS_FAILED) why = "failed";
-    else if (settled && age > silent * (plausible ? 1 : 3)) why = "silent";
+    else if (settled && lost >= TMX_PROBES_LOST * (plausible ? 1 : 5)) why = "silent";
     else if (m->drain && !m->tasks) why = "drained";
     else if (m->errors >= TMX_SICK_ERRORS && m->error_two && !m->tasks) why = "faulty";
     if (why) {
--- a/src/controller.h
+++ b/src/controller.h
@@ -60,11 +60,12 @@
 };
 size_t tmx_workers_unregistered(struct tmx_workers *w, struct tmx_worker_facts *out, size_t max);
 struct tmx_health {
-  double age; /* s since any controller heard it; 1e9: never */
+  double age;       /* s since any controller heard it; 1e9: never */
+  double alive_age; /* ... or it answered a probe of this one */
   bool notice;
-  bool answering; /* heard by this very controller */
 };
 struct tmx_health tmx_workers_health(struct tmx_workers *w, const char *machine);
+int tmx_workers_probe(struct tmx_workers *w, const struct tmx_machine *m); /* probes lost */
 /* For heartbeats. */
 typedef void (*tmx_each_heard)(void *arg, const char *id, double age, uint64_t session, bool notice);
 void tmx_workers_each(struct tmx_workers *w, tmx_each_heard f, void *arg);
--- a/src/worker/worker.c
+++ b/src/worker/worker.c
@@ -35,6 +35,11 @@
   bool starts_out;     /* a response with starts was sent; the next report tells */
   bool in_flight, unanswered;
   bool dirty;
+  /* the leader's own question to a silent machine */
+  bool probe_busy;
+  int probes_lost; /* in a row */
+  double probe_at, shown_at;
+  struct tmx_client *probe;
   struct tmx_client *client;
   char client_addr[TMX_NAME_MAX];
   UT_hash_handle hh;
@@ -55,6 +60,17 @@
   return r;
 }
 
+static struct worker *make(struct tmx_workers *w, const char *id) {
+  struct worker *r = find(w, id);
+  if (r || HASH_COUNT(w->all) >= WORKERS_MAX) return r;
+  r = calloc(1, sizeof *r);
+  if (!r) abort();
+  snprintf(r->id, sizeof r->id, "%s", id);
+  r->w = w;
+  HASH_ADD_STR(w->all, id, r);
+  return r;
+}
+
 struct tmx_workers *tmx_workers_new(struct tmx_ctl *c) {
   struct tmx_workers *w = calloc(1, sizeof *w);
   if (!w) abort();
@@ -65,6 +81,7 @@
 static void worker_free(struct tmx_workers *w, struct worker *r) {
   HASH_DEL(w->all, r);
   if (r->client) tmx_client_free(r->client);
+  if (r->probe) tmx_client_free(r->probe);
   free(r->loads);
   free(r);
 }
@@ -147,17 +164,10 @@
   struct load *loads;
   size_t n;
   if (!parse_loads(ls, &loads, &n)) return false;
-  struct worker *r = find(w, f.id);
+  struct worker *r = make(w, f.id);
   if (!r) {
-    if (HASH_COUNT(w->all) >= WORKERS_MAX) {
-      free(loads);
-      return false;
-    }
-    r = calloc(1, sizeof *r);
-    if (!r) abort();
-    snprintf(r->id, sizeof r->id, "%s", f.id);
-    r->w = w;
-    HASH_ADD_STR(w->all, id, r);
+    free(loads);
+    return false;
   }
   *out = r;
   /* late copies of older reports say nothing new */
@@ -462,20 +472,51 @@
   return n;
 }
 
+/* ------------------------------------------------------------ probes */
+
+static void on_shown(void *arg, int status, const uint8_t *body, size_t len) {
+  struct worker *r = arg;
+  struct worker *same = NULL;
+  r->probe_busy = false;
+  cbor_item_t *m = status == 200 ? tmx_cbor_parse(body, len) : NULL;
+  if (m && take_report(r->w, m, &same) && same == r) {
+    r->probes_lost = 0;
+    r->shown_at = tmx_now();
+  } else {
+    r->probes_lost++;
+  }
+  tmx_cbor_free(m);
+}
+
+/* Silence alone may be the controllers' trouble: before a machine is given up it is asked. */
+int tmx_workers_probe(struct tmx_workers *w, const struct tmx_machine *m) {
+  struct worker *r = make(w, m->id);
+  double now = tmx_now();
+  if (!r) return 0;
+  if (now - r->probe_at > 3 * TMX_PROBE_S) r->probes_lost = 0; /* of an earlier silence */
+  if (r->probe_busy || now - r->probe_at < TMX_PROBE_S) return r->probes_lost;
+  if (!r->probe) r->probe = tmx_client_new(w->c->loop, m->addr, 2);
+  r->probe_at = now;
+  if (r->probe)
+    r->probe_busy = tmx_client_call(r->probe, "GET", WP_STATUS, NULL, TMX_PROBE_S, on_shown, r);
+  return r->probes_lost;
+}
+
 struct tmx_health tmx_workers_health(struct tmx_workers *w, const char *machine) {
   struct worker *r = find(w, machine);
-  struct tmx_health h = {.age = 1e9};
+  struct tmx_health h = {.age = 1e9, .alive_age = 1e9};
   if (r && r->heard_at) {
     h.age = tmx_now() - r->heard_at;
     h.notice = r->notice;
-    h.answering = true;
   }
+  if (r && r->shown_at) h.alive_age = tmx_now() - r->shown_at;
   bool notice = false;
   double other = tmx_peers_heard(w->c->peers, machine, NULL, &notice);
   if (other < h.age) {
     h.age = other;
     h.notice = notice;
   }
+  if (h.age < h.alive_age) h.alive_age = h.age;
   return h;
 }
 
