A controller that alone lost the state service sends users and workers elsewhere

Cause: a controller refused by the state service stayed ready for 20 s and kept its workers, answering users with 503 and starting nothing; its peers' heartbeats tell that they are served.

--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -32,6 +32,8 @@
 #define TMX_FRESH_MARGIN_S 3.0        /* taken off cancel_s - lease_s: drift, delays, halts */
 #define TMX_FOLD_KEYS 300             /* batch keys kept before old ones are folded */
 
+#define TMX_STATE_LOST_S 3.5          /* no revision read for this long: ask whether peers get any */
+
 /* --- rounds (s) --- */
 #define TMX_ROUND_SPACING_S 0.03      /* least time between two rounds of one controller */
 #define TMX_ROUND_IDLE_S 2.0          /* the paper's draft period: a round without an event */
--- a/src/controller.c
+++ b/src/controller.c
@@ -108,6 +108,21 @@
   return c->rep.loaded && at > 0 && tmx_now() - at < bound;
 }
 
+/* The state service answers others but not this controller: others should do the work. When it
+ * answers nobody, everybody stays at work as far as freshness allows. */
+bool tmx_ctl_cut_off(const struct tmx_ctl *c) {
+  double at = tmx_link_confirmed(c->link);
+  if (c->rep.loaded && tmx_now() - at < TMX_STATE_LOST_S) return false;
+  return tmx_peers_state_age(c->peers) < TMX_STATE_LOST_S / 2;
+}
+
+/* Users are sent elsewhere sooner than workers: nothing runs on for them here. */
+static bool ready(const struct tmx_ctl *c) {
+  double at = tmx_link_confirmed(c->link);
+  if (!tmx_ctl_fresh(c) || tmx_ctl_cut_off(c)) return false;
+  return tmx_now() - at < TMX_STATE_LOST_S || tmx_peers_any(c->peers);
+}
+
 uint64_t tmx_ctl_token(const struct tmx_ctl *c, uint32_t bump) {
   return (c->rep.view.term << 24) + bump;
 }
@@ -594,9 +609,7 @@
 static void on_request(void *arg, struct tmx_req *q) {
   struct tmx_ctl *c = arg;
   if (!strcmp(q->path, WP_READY)) {
-    size_t n;
-    tmx_cloud_types(c->cloud, &n);
-    tmx_req_reply(q, tmx_ctl_fresh(c) ? 200 : 503, NULL, 0);
+    tmx_req_reply(q, ready(c) ? 200 : 503, NULL, 0);
   } else if (!strcmp(q->path, WP_REPORT)) {
     if (q->method == HTTP_POST)
       tmx_workers_report(c->workers, q);
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -36,7 +36,7 @@
   int refusals;
   /* from its beats */
   double beat_at;
-  uint64_t run, revision;
+  double state_age;
   struct heard *heard;
   size_t n_heard;
 };
@@ -88,8 +88,7 @@
   if (!q) return;
   q->beat_at = tmx_now();
   q->refusals = 0;
-  q->run = b->run;
-  q->revision = b->revision;
+  q->state_age = b->state_age_ms / 1000.0;
   free(q->heard);
   q->n_heard = b->heard.heard_len;
   q->heard = calloc(q->n_heard + 1, sizeof *q->heard);
@@ -301,6 +300,23 @@
   return false;
 }
 
+bool tmx_peers_any(const struct tmx_peers *p) {
+  double now = tmx_now();
+  for (size_t i = 0; i < p->n; i++)
+    if (p->peers[i].beat_at && now - p->peers[i].beat_at < TMX_BEAT_LOST_S) return true;
+  return false;
+}
+
+double tmx_peers_state_age(const struct tmx_peers *p) {
+  double best = 1e9, now = tmx_now();
+  for (size_t i = 0; i < p->n; i++) {
+    const struct peer *q = &p->peers[i];
+    double age = q->state_age + (now - q->beat_at);
+    if (q->beat_at && age < best) best = age;
+  }
+  return best;
+}
+
 double tmx_peers_heard(const struct tmx_peers *p, const char *machine, const char *only,
                        bool *notice) {
   double best = 1e9, now = tmx_now();
--- a/src/worker/worker.c
+++ b/src/worker/worker.c
@@ -397,6 +397,10 @@
     tmx_req_reply(q, 503, NULL, 1);
     return;
   }
+  if (tmx_ctl_cut_off(c)) {
+    answer_move(q, NULL);
+    return;
+  }
   if (!refresh_owner(w, r)) {
     const char *owner = tmx_owner_of(&c->rep, r->id);
     if (owner && !strcmp(owner, c->set.node)) owner = NULL; /* this run is not in the view yet */
