--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -42,6 +42,8 @@
 #define TMX_WRITE_SHARE 0.85          /* of the write rate: the rest is for submissions */
 #define TMX_PATIENCE_S 10.0           /* a start without an aim: fetching this long is like a full
                                          machine */
+#define TMX_NO_AIM_S 600.0            /* when a job of a class without an aim counts as late */
+#define TMX_STARVED 3.0               /* times its aim: a job that old goes first */
 #define TMX_PLAN_TASKS 400            /* tasks placed in one round at most */
 
 /* --- workers (s) --- */
--- a/src/controller.c
+++ b/src/controller.c
@@ -217,14 +217,23 @@
   return j && o->task < j->spec.tasks ? &j->tasks[o->task] : NULL;
 }
 
-static double due_of(const struct tmx_ctl *c, const struct tmx_job *j) {
-  double due = j->submitted + 600;
-  if (j->spec.deadline_s >= 0) return j->submitted + j->spec.deadline_s;
+/* The place of an array in the order, lower first. What can still meet an aim comes before what
+ * cannot, the least remaining work first, since that brings the most jobs home in time; what is
+ * long overdue goes first again, so that nothing starves. */
+static double order_of(const struct tmx_ctl *c, const struct tmx_job *j, double wall) {
+  const struct tmx_spec *s = &j->spec;
+  double waited = wall - j->submitted, last = 0, run = fmax(s->estimate_s, 1);
+  uint32_t left = s->tasks - j->n_done, waiting = left - j->n_placed;
+  double work = (waiting + 0.5 * j->n_placed) * fmax(s->cpus, 0.1) * run;
   for (size_t i = 0; i < c->set.n_objectives; i++)
-    if (!strcmp(c->set.objectives[i].class_name, j->spec.class) &&
+    if (!strcmp(c->set.objectives[i].class_name, s->class) &&
         !strcmp(c->set.objectives[i].kind, "finished"))
-      return j->submitted + c->set.objectives[i].within_s;
-  return due;
+      last = fmax(last, c->set.objectives[i].within_s);
+  if (s->deadline_s > last) last = s->deadline_s;
+  if (last <= 0) last = TMX_NO_AIM_S;
+  if (waited > TMX_STARVED * last) return -1e9 + j->submitted;
+  if (waited + run > last) return 1e9 + work;
+  return work;
 }
 
 /* How long a start may take: the class's own aim, or a plain wait. */
@@ -332,8 +341,7 @@
     p->team = j->team;
     p->planner = member_index(r, tmx_planner_of(r, j->id));
     p->waited = now - j->loaded_at;
-    double due = due_of(c, j);
-    p->order = due < wall ? due + 1e5 : due; /* what is late already comes after what can be met */
+    p->order = order_of(c, j, wall);
     if (j->team >= 0 && !j->fin) {
       const struct tmx_team_conf *t = &c->set.teams[j->team];
       uint32_t left = j->spec.tasks - j->n_done;
