--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -52,10 +52,13 @@
                                          owner cannot reach it: take it over */
 #define TMX_TAKE_WITHIN_S 20.0        /* ... and within this */
 #define TMX_HEARD_S 4.5               /* no report for this long: no new tasks on the machine */
-#define TMX_SILENT_REPORTS 1.7        /* report periods without any report (they vary by a quarter):
-                                         a machine is silent and is probed */
-#define TMX_PROBE_S 1.0               /* between probes, and the wait for an answer */
+#define TMX_SILENT_REPORTS 1.4        /* report periods without a report anywhere (they vary by a
+                                         quarter) before a machine may be given up */
+#define TMX_PROBE_AFTER_S 1.2         /* no sign of a machine for this long: the leader asks it */
+#define TMX_PROBE_S 0.8               /* between probes, and the wait for an answer */
 #define TMX_PROBES_LOST 3             /* in a row: the machine is given up */
+#define TMX_PROBES_TICK 12            /* probes started in one sweep, whatever the cluster's size */
+#define TMX_SWEEP_S 0.25              /* machines are looked through this often by the leader */
 #define TMX_SETTLE_S 5.0              /* a new leader first hears its peers and the workers */
 #define TMX_SICK_ERRORS 4             /* errors in a row from two jobs or more: a faulty machine */
 #define TMX_RETRY_BASE_S 0.5          /* backoff of a job whose tasks fail: doubles a failure */
--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -53,7 +53,7 @@
   struct tmx_client *http;
   struct tmx_type types[TMX_TYPES_MAX];
   size_t n_types;
-  double types_at, list_at, rent_at, tokens, tokens_at, led_since;
+  double types_at, list_at, rent_at, sweep_at, tokens, tokens_at, led_since;
   bool types_busy, list_busy, delete_busy;
   int hires_busy;
   unsigned pass;
@@ -501,6 +501,7 @@
       if (x->job->spec.service) services += x->job->spec.cpus;
   }
   /* a trouble of our own looks like many silent machines at once */
+  int probes = 0;
   bool plausible = n_silent <= 2 || n_silent * 2 <= n_known;
   HASH_ITER(hh, r->machines, m, mt) {
     if (!m->known || d->n == max) continue;
@@ -508,7 +509,10 @@
     HASH_FIND_STR(k->listed, m->id, l);
     const struct tmx_type *t = tmx_cloud_type(k, m->type);
     double age = tmx_workers_health(c->workers, m->id).alive_age;
-    int lost = age > silent ? tmx_workers_probe(c->workers, m) : 0;
+    int lost = 0;
+    if (age > TMX_PROBE_AFTER_S && probes++ < TMX_PROBES_TICK)
+      lost = tmx_workers_probe(c->workers, m);
+    if (age < silent) lost = 0;
     const char *why = NULL;
     if (l && l->state == LS_FAILED) why = "failed";
     else if (settled && lost >= TMX_PROBES_LOST * (plausible ? 1 : 5)) why = "silent";
@@ -605,9 +609,12 @@
     k->list_at = now;
     read_list(k);
   }
+  if (now - k->sweep_at > TMX_SWEEP_S) {
+    k->sweep_at = now;
+    sweep(k);
+  }
   if (now - k->rent_at > TMX_RENT_S && k->n_types) {
     k->rent_at = now;
-    sweep(k);
     if (!k->hires_busy && now - k->led_since > TMX_LIST_S) weigh(k);
   }
 }
