--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -59,7 +59,7 @@
 #define TMX_PROBES_LOST 3             /* in a row: the machine is given up */
 #define TMX_PROBES_TICK 12            /* probes started in one sweep, whatever the cluster's size */
 #define TMX_SWEEP_S 0.25              /* machines are looked through this often by the leader */
-#define TMX_SETTLE_S 5.0              /* a new leader first hears its peers and the workers */
+#define TMX_SETTLE_S 3.0              /* a new leader first hears its peers and the workers */
 #define TMX_SICK_ERRORS 4             /* errors in a row from two jobs or more: a faulty machine */
 #define TMX_RETRY_BASE_S 0.5          /* backoff of a job whose tasks fail: doubles a failure */
 #define TMX_RETRY_MAX_S 30.0          /* and ends here */
@@ -85,6 +85,10 @@
 #define TMX_REFUSED_S 15.0            /* a refused type, zone and kind rests; doubles */
 #define TMX_REFUSED_MAX_S 120.0
 #define TMX_IDLE_RETURN_S 75.0        /* an empty machine is returned: the least charge is 60 s */
+#define TMX_PEAK_S 60                 /* room is kept for the peak of this long: the least charge of
+                                         a machine, and longer than a boot */
+#define TMX_ROOM_OVER_PEAK 0.1        /* ... and this share more */
+#define TMX_DRAIN_SPACING_S 3.0       /* between two machines chosen to be returned */
 #define TMX_BOOT_LATE 4.0             /* times boot_s: a machine that boots longer is returned */
 #define TMX_HEADROOM 0.08             /* of the room booked by services, kept free for restarts */
 
--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -63,6 +63,9 @@
   struct blocked blocked[64];
   size_t n_blocked;
   uint64_t hire_seq;
+  double booked[TMX_PEAK_S]; /* CPUs booked and asked for, the most in each of the last seconds */
+  int booked_at;             /* second of the latest entry */
+  double drain_at;
 };
 
 struct tmx_cloud *tmx_cloud_new(struct tmx_ctl *c) {
@@ -472,6 +475,64 @@
   return true;
 }
 
+/* The most room that was in use or asked for within the last TMX_PEAK_S. */
+static double peak_booked(struct tmx_cloud *k, double now, double booked) {
+  int sec = (int)now;
+  if (sec - k->booked_at > TMX_PEAK_S) {
+    for (int i = 0; i < TMX_PEAK_S; i++) k->booked[i] = 0;
+    k->booked_at = sec;
+  }
+  while (k->booked_at < sec) k->booked[++k->booked_at % TMX_PEAK_S] = 0;
+  double *b = &k->booked[sec % TMX_PEAK_S], most = 0;
+  *b = fmax(*b, booked);
+  for (int i = 0; i < TMX_PEAK_S; i++) most = fmax(most, k->booked[i]);
+  return most;
+}
+
+/* Returns the dearest machine that the peak of the last while would not have needed. Its arrays
+ * run to their end; its replicas move, so room for them must be free in the same zone. */
+static void shrink(struct tmx_cloud *k, double booked) {
+  struct tmx_ctl *c = k->c;
+  struct tmx_replica *r = &c->rep;
+  double now = tmx_now(), peak = peak_booked(k, now, booked), have = 0;
+  double zone_free[TMX_ZONES_MAX] = {0};
+  struct tmx_machine *m, *mt, *best = NULL;
+  double best_v = 0;
+  int draining = 0;
+  if (now - k->led_since < TMX_PEAK_S || now - k->drain_at < TMX_DRAIN_SPACING_S) return;
+  HASH_ITER(hh, r->machines, m, mt) {
+    const struct tmx_type *t = tmx_cloud_type(k, m->type);
+    if (!m->known || !t) continue;
+    if (m->drain) {
+      draining++;
+      continue;
+    }
+    have += t->cpus;
+    if (m->zone >= 0 && !m->spot) zone_free[m->zone] += t->cpus - m->cpus;
+  }
+  if (draining >= 3) return;
+  HASH_ITER(hh, r->machines, m, mt) {
+    const struct tmx_type *t = tmx_cloud_type(k, m->type);
+    if (!m->known || !t || m->drain || m->zone < 0) continue;
+    if (have - t->cpus < peak * (1 + TMX_ROOM_OVER_PEAK)) continue;
+    double services = 0;
+    for (struct tmx_task *x = m->tasks; x; x = x->next)
+      if (x->job->spec.service) services += x->job->spec.cpus;
+    if (services > 0 && zone_free[m->zone] - (t->cpus - m->cpus) < 2 * services + 0.2 * peak / (double)c->set.n_zones)
+      continue;
+    /* price of a CPU, less what its work would lose */
+    double v = (m->spot ? t->spot_price : t->price) / t->cpus * (1.2 - m->cpus / t->cpus) *
+               (1 - 0.5 * services / t->cpus);
+    if (!best || v > best_v) {
+      best = m;
+      best_v = v;
+    }
+  }
+  if (!best) return;
+  k->drain_at = now;
+  drain(k, best);
+}
+
 static void sweep(struct tmx_cloud *k) {
   struct tmx_ctl *c = k->c;
   struct tmx_replica *r = &c->rep;
@@ -486,17 +547,22 @@
   bool settled = now - k->led_since > TMX_SETTLE_S && peers_all_heard(c);
   bool waiting = false;
   struct tmx_job *j, *jt;
-  HASH_ITER(hh, r->jobs, j, jt)
-    if (!j->fin && j->spec.tasks > j->n_done + j->n_placed) waiting = true;
+  double asked = 0;
+  HASH_ITER(hh, r->jobs, j, jt) {
+    if (j->fin || j->spec.tasks <= j->n_done + j->n_placed) continue;
+    waiting = true;
+    asked += (j->spec.tasks - j->n_done - j->n_placed) * j->spec.cpus;
+  }
   struct tmx_machine *m, *mt;
   size_t n_known = 0, n_silent = 0;
-  double room = 0, services = 0;
+  double room = 0, services = 0, booked = 0;
   HASH_ITER(hh, r->machines, m, mt) {
     if (!m->known) continue;
     n_known++;
     if (tmx_workers_health(c->workers, m->id).alive_age > silent) n_silent++;
     const struct tmx_type *t = tmx_cloud_type(k, m->type);
     if (t && !m->drain) room += t->cpus - m->cpus;
+    booked += m->cpus;
     for (struct tmx_task *x = m->tasks; x; x = x->next)
       if (x->job->spec.service) services += x->job->spec.cpus;
   }
@@ -541,6 +607,7 @@
       e->since = now;
     }
   }
+  shrink(k, booked + asked);
   struct empty *e, *et;
   HASH_ITER(hh, k->empties, e, et) {
     if (tmx_machine_find(r, e->id)) continue;
--- a/src/controller.c
+++ b/src/controller.c
@@ -291,6 +291,7 @@
     memcpy(p->type, m->type, sizeof p->type);
     p->zone = m->zone;
     p->spot = m->spot;
+    p->drain = m->drain;
     p->owner = member_index(r, tmx_owner_of(r, m->id));
     if (ty) {
       p->cpus = ty->cpus;
@@ -559,10 +560,12 @@
   }
   c->round_at = now;
   ends.n = tmx_workers_ends(c->workers, ends.ops, 512);
-  size_t waiting;
+  size_t waiting, moving = 0;
+  struct tmx_machine *m, *mt;
+  HASH_ITER(hh, c->rep.machines, m, mt) moving += m->drain && m->n_tasks;
   struct tmx_plan_input *in = snapshot(c, &ends, &waiting);
   c->round_busy = true;
-  if (!waiting) {
+  if (!waiting && !(moving && in->leading)) {
     tmx_plan_input_free(in);
     commit_round(c, NULL);
     return;
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -254,6 +254,37 @@
   return strcmp(x->id, y->id);
 }
 
+#define MOVES_A_ROUND 2 /* replicas down at the same time because machines are returned */
+
+/* Replicas leave a machine that is to be returned, one by one, and only for room that is free
+ * now where their image lies. */
+static void move_services(struct round *r) {
+  struct tmx_plan_input *in = r->in;
+  int moves = 0;
+  for (size_t i = 0; i < in->n_running; i++) {
+    struct tmx_plan_running *v = &in->running[i];
+    struct tmx_plan_job *j = &in->jobs[v->job];
+    if (in->machines[v->machine].drain && j->spec->service && v->stopping) moves++;
+  }
+  for (size_t i = 0; i < in->n_running && moves < MOVES_A_ROUND; i++) {
+    struct tmx_plan_running *v = &in->running[i];
+    struct tmx_plan_job *j = &in->jobs[v->job];
+    struct tmx_plan_machine *m = &in->machines[v->machine];
+    if (!m->drain || !j->spec->service || v->stopping || m->zone < 0) continue;
+    uint32_t n_eligible = 0;
+    for (size_t k = 0; k < in->n_machines; k++) n_eligible += eligible(j, &in->machines[k], in);
+    j->zone_live[m->zone]--;
+    int to = pick(r, j, -1, false, true, n_eligible);
+    j->zone_live[m->zone]++;
+    if (to < 0) continue;
+    take(r, j, to, false);
+    struct tmx_op op = {.op = TMX_OP_STOP, .task = v->task, .attempt = v->attempt, .how = '1'};
+    snprintf(op.job, sizeof op.job, "%s", j->id);
+    emit(r, &op);
+    moves++;
+  }
+}
+
 void tmx_plan(struct tmx_plan_input *in, struct tmx_plan_output *out) {
   struct round r = {.in = in, .out = out};
   memset(out, 0, sizeof *out);
@@ -327,6 +358,7 @@
       if (!in->leading || !make_room(&r, j, false, n_eligible)) no_room = true;
     }
   }
+  if (in->leading && !out->unplaced) move_services(&r);
   free(order);
 }
 
