Give no machine up while most of its zone is silent; take draining machines back

Now a zone with most machines late counts as cut off, and nothing of it goes before its leases lapsed.

--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -56,6 +56,8 @@
                                          quarter) before a machine may be given up */
 #define TMX_PROBE_AFTER_S 1.2         /* no sign of a machine for this long: the leader asks it */
 #define TMX_PROBE_S 0.8               /* between probes, and the wait for an answer */
+#define TMX_PROBE_LATE_S 2.0          /* a machine at work is heard or answers a probe within this */
+#define TMX_ZONE_CUT_S 4.0            /* a zone counts as cut off for this long after the last sign */
 #define TMX_PROBES_LOST 3             /* in a row: the machine is given up */
 #define TMX_PROBES_TICK 12            /* probes started in one sweep, whatever the cluster's size */
 #define TMX_SWEEP_S 0.25              /* machines are looked through this often by the leader */
@@ -88,6 +90,7 @@
 #define TMX_PEAK_S 60                 /* room is kept for the peak of this long: the least charge of
                                          a machine, and longer than a boot */
 #define TMX_ROOM_OVER_PEAK 0.1        /* ... and this share more */
+#define TMX_ROOM_TO_MOVE 1.3          /* times a machine's replicas must be free in its zone first */
 #define TMX_DRAIN_SPACING_S 3.0       /* between two machines chosen to be returned */
 #define TMX_BOOT_LATE 4.0             /* times boot_s: a machine that boots longer is returned */
 #define TMX_HEADROOM 0.08             /* of the room booked by services, kept free for restarts */
--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -66,6 +66,7 @@
   double booked[TMX_PEAK_S]; /* CPUs booked and asked for, the most in each of the last seconds */
   int booked_at;             /* second of the latest entry */
   double drain_at;
+  double cut_until[TMX_ZONES_MAX]; /* zones that seem cut off */
 };
 
 struct tmx_cloud *tmx_cloud_new(struct tmx_ctl *c) {
@@ -447,7 +448,8 @@
   free(d);
 }
 
-static void drain(struct tmx_cloud *k, struct tmx_machine *m) {
+/* A machine marked so gets no new work, and is returned when it is empty. */
+static void drain(struct tmx_cloud *k, struct tmx_machine *m, bool on) {
   struct tmx_txn t = {0};
   struct tmx_buf v = {0};
   char key[TMX_KEY_MAX + 1];
@@ -457,13 +459,13 @@
   tmx_w_kstr(&v, "type", m->type);
   tmx_w_kstr(&v, "zone", m->zone >= 0 ? k->c->set.zones[m->zone] : "");
   tmx_w_kbool(&v, "spot", m->spot);
-  tmx_w_kbool(&v, "drain", true);
+  tmx_w_kbool(&v, "drain", on);
   tmx_txn_if(&t, key, m->stamp);
   tmx_txn_if(&t, TMX_K_HEAD, k->c->rep.head);
   tmx_txn_put(&t, key, &v, 0);
   tmx_txn_head(&t, k->c->set.node);
   tmx_buf_free(&v);
-  tmx_log(TMX_INFO, "cloud: %s is no longer needed", m->id);
+  tmx_log(TMX_INFO, "cloud: %s is %s needed", m->id, on ? "no longer" : "again");
   tmx_link_commit(k->c->link, &t, false, NULL, NULL);
 }
 
@@ -491,7 +493,7 @@
 
 /* Returns the dearest machine that the peak of the last while would not have needed. Its arrays
  * run to their end; its replicas move, so room for them must be free in the same zone. */
-static void shrink(struct tmx_cloud *k, double booked) {
+static void shrink(struct tmx_cloud *k, double booked, bool waiting) {
   struct tmx_ctl *c = k->c;
   struct tmx_replica *r = &c->rep;
   double now = tmx_now(), peak = peak_booked(k, now, booked), have = 0;
@@ -505,6 +507,12 @@
     if (!m->known || !t) continue;
     if (m->drain) {
       draining++;
+      /* work waits: what is about to be returned is nearer than anything that must boot */
+      if (waiting && m->tasks && !(m->errors >= TMX_SICK_ERRORS && m->error_two)) {
+        k->drain_at = now;
+        drain(k, m, false);
+        return;
+      }
       continue;
     }
     have += t->cpus;
@@ -518,11 +526,10 @@
     double services = 0;
     for (struct tmx_task *x = m->tasks; x; x = x->next)
       if (x->job->spec.service) services += x->job->spec.cpus;
-    if (services > 0 && zone_free[m->zone] - (t->cpus - m->cpus) < 2 * services + 0.2 * peak / (double)c->set.n_zones)
+    if (services > 0 && zone_free[m->zone] - (t->cpus - m->cpus) < TMX_ROOM_TO_MOVE * services)
       continue;
-    /* price of a CPU, less what its work would lose */
-    double v = (m->spot ? t->spot_price : t->price) / t->cpus * (1.2 - m->cpus / t->cpus) *
-               (1 - 0.5 * services / t->cpus);
+    /* the money that lies idle on it */
+    double v = (m->spot ? t->spot_price : t->price) * (1.1 - m->cpus / t->cpus);
     if (!best || v > best_v) {
       best = m;
       best_v = v;
@@ -530,7 +537,7 @@
   }
   if (!best) return;
   k->drain_at = now;
-  drain(k, best);
+  drain(k, best, true);
 }
 
 static void sweep(struct tmx_cloud *k) {
@@ -554,21 +561,27 @@
     asked += (j->spec.tasks - j->n_done - j->n_placed) * j->spec.cpus;
   }
   struct tmx_machine *m, *mt;
-  size_t n_known = 0, n_silent = 0;
+  size_t n_zone[TMX_ZONES_MAX] = {0}, n_lost[TMX_ZONES_MAX] = {0};
   double room = 0, services = 0, booked = 0;
   HASH_ITER(hh, r->machines, m, mt) {
     if (!m->known) continue;
-    n_known++;
-    if (tmx_workers_health(c->workers, m->id).alive_age > silent) n_silent++;
+    if (m->zone >= 0) {
+      n_zone[m->zone]++;
+      n_lost[m->zone] += tmx_workers_health(c->workers, m->id).alive_age > TMX_PROBE_LATE_S;
+    }
     const struct tmx_type *t = tmx_cloud_type(k, m->type);
     if (t && !m->drain) room += t->cpus - m->cpus;
     booked += m->cpus;
     for (struct tmx_task *x = m->tasks; x; x = x->next)
       if (x->job->spec.service) services += x->job->spec.cpus;
   }
-  /* a trouble of our own looks like many silent machines at once */
   int probes = 0;
-  bool plausible = n_silent <= 2 || n_silent * 2 <= n_known;
+  /* Most of a zone silent at once is a cut between it and us, or our own trouble, and its work may
+   * go on: nothing of it is given up before its leases must have lapsed. */
+  for (size_t z = 0; z < c->set.n_zones; z++)
+    if (n_lost[z] >= 3 ? n_lost[z] * 2 > n_zone[z] : n_lost[z] == 2 && n_zone[z] == 2)
+      k->cut_until[z] = now + TMX_ZONE_CUT_S;
+  bool lapsed = now - k->led_since > c->set.lease_s;
   HASH_ITER(hh, r->machines, m, mt) {
     if (!m->known || d->n == max) continue;
     struct listed *l;
@@ -581,7 +594,9 @@
     if (age < silent) lost = 0;
     const char *why = NULL;
     if (l && l->state == LS_FAILED) why = "failed";
-    else if (settled && lost >= TMX_PROBES_LOST * (plausible ? 1 : 5)) why = "silent";
+    else if (settled && lost >= TMX_PROBES_LOST &&
+             (m->zone < 0 || now > k->cut_until[m->zone] || (age > c->set.lease_s && lapsed)))
+      why = "silent";
     else if (m->drain && !m->tasks) why = "drained";
     else if (m->errors >= TMX_SICK_ERRORS && m->error_two && !m->tasks) why = "faulty";
     if (why) {
@@ -603,11 +618,11 @@
     if (t && !m->drain && !m->tasks && now - e->since > c->set.op.idle_return_s &&
         room - t->cpus > services * c->set.op.headroom) {
       room -= t->cpus;
-      drain(k, m);
+      drain(k, m, true);
       e->since = now;
     }
   }
-  shrink(k, booked + asked);
+  shrink(k, booked + asked, waiting);
   struct empty *e, *et;
   HASH_ITER(hh, k->empties, e, et) {
     if (tmx_machine_find(r, e->id)) continue;
