--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -90,7 +90,8 @@
 #define TMX_PEAK_S 60                 /* room is kept for the peak of this long: the least charge of
                                          a machine, and longer than a boot */
 #define TMX_ROOM_OVER_PEAK 0.1        /* ... and this share more */
-#define TMX_ROOM_TO_MOVE 1.3          /* times a machine's replicas must be free in its zone first */
+#define TMX_ROOM_TO_MOVE 2.0          /* times a machine's replicas must be free in its zone first */
+#define TMX_ROOM_AFTER 0.2            /* ... and this share of the zone's part of the peak */
 #define TMX_DRAIN_SPACING_S 3.0       /* between two machines chosen to be returned */
 #define TMX_BOOT_LATE 4.0             /* times boot_s: a machine that boots longer is returned */
 #define TMX_HEADROOM 0.08             /* of the room booked by services, kept free for restarts */
--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -526,10 +526,12 @@
     double services = 0;
     for (struct tmx_task *x = m->tasks; x; x = x->next)
       if (x->job->spec.service) services += x->job->spec.cpus;
-    if (services > 0 && zone_free[m->zone] - (t->cpus - m->cpus) < TMX_ROOM_TO_MOVE * services)
+    double spare = zone_free[m->zone] - (t->cpus - m->cpus);
+    if (services > 0 && spare < TMX_ROOM_TO_MOVE * services + TMX_ROOM_AFTER * peak / (double)c->set.n_zones)
       continue;
-    /* the money that lies idle on it */
-    double v = (m->spot ? t->spot_price : t->price) * (1.1 - m->cpus / t->cpus);
+    /* price of a CPU, less for work under way and for replicas that must move */
+    double v = (m->spot ? t->spot_price : t->price) / t->cpus * (1.2 - m->cpus / t->cpus) *
+               (1 - 0.5 * services / t->cpus);
     if (!best || v > best_v) {
       best = m;
       best_v = v;
