Probe each 0.5 s; a leader that reaches nearly all machines trusts its own probes

Cause: a dead machine was given up 3.7 s after it died, two of them waiting for a report that peers might have had.

--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -55,7 +55,7 @@
 #define TMX_SILENT_REPORTS 1.4        /* report periods without a report anywhere (they vary by a
                                          quarter) before a machine may be given up */
 #define TMX_PROBE_AFTER_S 1.2         /* no sign of a machine for this long: the leader asks it */
-#define TMX_PROBE_S 0.8               /* between probes, and the wait for an answer */
+#define TMX_PROBE_S 0.5               /* between probes, and the wait for an answer */
 #define TMX_PROBE_LATE_S 2.0          /* a machine at work is heard or answers a probe within this */
 #define TMX_ZONE_CUT_S 4.0            /* a zone counts as cut off for this long after the last sign */
 #define TMX_PROBES_LOST 3             /* in a row: the machine is given up */
--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -563,13 +563,16 @@
     asked += (j->spec.tasks - j->n_done - j->n_placed) * j->spec.cpus;
   }
   struct tmx_machine *m, *mt;
-  size_t n_zone[TMX_ZONES_MAX] = {0}, n_lost[TMX_ZONES_MAX] = {0};
+  size_t n_known = 0, n_own = 0, n_zone[TMX_ZONES_MAX] = {0}, n_lost[TMX_ZONES_MAX] = {0};
   double room = 0, services = 0, booked = 0;
   HASH_ITER(hh, r->machines, m, mt) {
     if (!m->known) continue;
+    struct tmx_health h = tmx_workers_health(c->workers, m->id);
+    n_known++;
+    n_own += h.own_age < TMX_PROBE_LATE_S;
     if (m->zone >= 0) {
       n_zone[m->zone]++;
-      n_lost[m->zone] += tmx_workers_health(c->workers, m->id).alive_age > TMX_PROBE_LATE_S;
+      n_lost[m->zone] += h.alive_age > TMX_PROBE_LATE_S;
     }
     const struct tmx_type *t = tmx_cloud_type(k, m->type);
     if (t && !m->drain) room += t->cpus - m->cpus;
@@ -583,6 +586,9 @@
   for (size_t z = 0; z < c->set.n_zones; z++)
     if (n_lost[z] >= 3 ? n_lost[z] * 2 > n_zone[z] : n_lost[z] == 2 && n_zone[z] == 2)
       k->cut_until[z] = now + TMX_ZONE_CUT_S;
+  /* While this controller reaches nearly all machines, its own probes are proof enough of silence;
+   * otherwise the trouble may be its own, and reports that others get must be missing too. */
+  bool reaching = n_own * 10 >= n_known * 7;
   bool lapsed = now - k->led_since > c->set.lease_s;
   HASH_ITER(hh, r->machines, m, mt) {
     if (!m->known || d->n == max) continue;
@@ -593,7 +599,7 @@
     int lost = 0;
     if (age > TMX_PROBE_AFTER_S && probes++ < TMX_PROBES_TICK)
       lost = tmx_workers_probe(c->workers, m);
-    if (age < silent) lost = 0;
+    if (age < silent && !reaching) lost = 0;
     const char *why = NULL;
     if (l && l->state == LS_FAILED) why = "failed";
     else if (settled && lost >= TMX_PROBES_LOST &&
--- a/src/controller.h
+++ b/src/controller.h
@@ -63,6 +63,7 @@
 struct tmx_health {
   double age;       /* s since any controller heard it; 1e9: never */
   double alive_age; /* ... or it answered a probe of this one */
+  double own_age;   /* s since this controller itself had a sign of it */
   bool notice;
 };
 struct tmx_health tmx_workers_health(struct tmx_workers *w, const char *machine);
--- a/src/worker/worker.c
+++ b/src/worker/worker.c
@@ -508,12 +508,13 @@
 
 struct tmx_health tmx_workers_health(struct tmx_workers *w, const char *machine) {
   struct worker *r = find(w, machine);
-  struct tmx_health h = {.age = 1e9, .alive_age = 1e9};
+  struct tmx_health h = {.age = 1e9, .alive_age = 1e9, .own_age = 1e9};
   if (r && r->heard_at) {
     h.age = tmx_now() - r->heard_at;
     h.notice = r->notice;
   }
   if (r && r->shown_at) h.alive_age = tmx_now() - r->shown_at;
+  h.own_age = fmin(h.age, h.alive_age);
   bool notice = false;
   double other = tmx_peers_heard(w->c->peers, machine, NULL, &notice);
   if (other < h.age) {
