Fold old batches into pages; keep only final states of jobs that are over

A controller starts by reading every key, so the log must not grow without end. Guard: folding in tests/test_rules.c restarts a controller from pages alone.

--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -30,7 +30,9 @@
 #define TMX_STATE_RETRY_S 0.3         /* after an error of the state service */
 #define TMX_TXN_BYTES 49152           /* bytes; PROTOCOL allows 64 KiB, counted as JSON */
 #define TMX_FRESH_MARGIN_S 3.0        /* taken off cancel_s - lease_s: drift, delays, halts */
-#define TMX_FOLD_KEYS 300             /* batch keys kept before old ones are folded */
+#define TMX_FOLD_KEYS 3000            /* batch keys kept before old ones are folded: about 1 MB, read
+                                         in a second when a controller starts */
+#define TMX_FOLD_SPARE 0.5            /* of the write budget must be free for a step of folding */
 
 #define TMX_STATE_LOST_S 3.5          /* no revision read for this long: ask whether peers get any */
 
--- a/src/controller.c
+++ b/src/controller.c
@@ -214,7 +214,7 @@
 
 static struct tmx_task *task_of(const struct tmx_replica *r, const struct tmx_op *o) {
   struct tmx_job *j = tmx_job_find(r, o->job);
-  return j && o->task < j->spec.tasks ? &j->tasks[o->task] : NULL;
+  return j && j->tasks && o->task < j->spec.tasks ? &j->tasks[o->task] : NULL;
 }
 
 /* The place of an array in the order, lower first. What can still meet an aim comes before what
@@ -612,6 +612,7 @@
     tmx_link_suspect(c->link, "");
   tmx_link_tick(c->link);
   view_step(c);
+  tmx_fold_tick(c->fold);
   tmx_cloud_tick(c->cloud);
 }
 
@@ -661,6 +662,7 @@
   c->planner = planner_new(c);
   c->link = tmx_link_new(loop, &c->set, &c->rep);
   c->cloud = tmx_cloud_new(c);
+  c->fold = tmx_fold_new(c);
   ev_timer_init(&c->tick, on_tick, 0, 0.1);
   c->tick.data = c;
   ev_timer_start(loop, &c->tick);
@@ -677,6 +679,7 @@
   planner_free(c->planner);
   tmx_server_free(c->server);
   tmx_cloud_free(c->cloud);
+  tmx_fold_free(c->fold);
   tmx_link_free(c->link);
   tmx_peers_free(c->peers);
   tmx_users_free(c->users);
--- a/src/controller.h
+++ b/src/controller.h
@@ -14,6 +14,7 @@
 struct tmx_cloud;
 struct tmx_peers;
 struct tmx_planner;
+struct tmx_fold;
 
 struct tmx_ctl {
   struct ev_loop *loop;
@@ -26,6 +27,7 @@
   struct tmx_peers *peers;
   struct tmx_server *server;
   struct tmx_planner *planner;
+  struct tmx_fold *fold;
   ev_timer tick, round;
   ev_prepare prepare;
   bool round_busy, round_wanted, view_busy;
@@ -46,6 +48,12 @@
 void tmx_ctl_take(struct tmx_ctl *c, const char *machine);
 int tmx_retry_after(void);
 
+/* src/state: folding of old batches, by the leader */
+struct tmx_fold *tmx_fold_new(struct tmx_ctl *c);
+void tmx_fold_free(struct tmx_fold *f);
+void tmx_fold_tick(struct tmx_fold *f);
+void tmx_fold_above(struct tmx_fold *f, size_t keys); /* for the tests: another threshold */
+
 /* src/worker */
 struct tmx_workers *tmx_workers_new(struct tmx_ctl *c);
 void tmx_workers_free(struct tmx_workers *w);
--- a/src/state/replica.c
+++ b/src/state/replica.c
@@ -43,6 +43,7 @@
   }
   log_keys_clear(&r->batches);
   log_keys_clear(&r->hires);
+  log_keys_clear(&r->pages);
   free(r->view.exceptions);
   memset(&r->view, 0, sizeof r->view);
   memset(r->usage, 0, sizeof r->usage);
@@ -211,6 +212,32 @@
   return o->op == TMX_OP_PLACE || o->op == TMX_OP_STOP || o->op == TMX_OP_END;
 }
 
+uint32_t tmx_page_encode(struct tmx_buf *b, const struct tmx_job *j, uint32_t from,
+                         size_t max_bytes) {
+  struct tmx_buf list = {0};
+  size_t bytes = 64;
+  uint32_t n = 0;
+  for (uint32_t i = from; i < j->spec.tasks; i++, n++) {
+    const struct tmx_task *t = &j->tasks[i];
+    char s[96];
+    char state = t->state == TMX_TASK_DONE ? 'd'
+                 : t->state == TMX_WAITING ? 'w'
+                 : t->stop                 ? (char)('0' + t->stop)
+                                           : 'p';
+    int len = snprintf(s, sizeof s, "%c %u %s", state, t->attempt, t->machine ? t->machine->id : "-");
+    if (bytes + (size_t)len + 4 > max_bytes) break;
+    bytes += (size_t)len + 4;
+    tmx_w_str(&list, s);
+  }
+  tmx_w_map(b, 2);
+  tmx_w_ku64(b, "from", from);
+  tmx_w_str(b, "tasks");
+  tmx_w_list(b, n);
+  tmx_buf_add(b, list.p, list.n);
+  tmx_buf_free(&list);
+  return n;
+}
+
 void tmx_view_encode(struct tmx_buf *b, const struct tmx_view *v) {
   tmx_w_map(b, 3);
   tmx_w_ku64(b, "term", v->term);
@@ -250,6 +277,13 @@
   }
 }
 
+/* A job that is over and has left all machines needs only its final state. */
+static void release(struct tmx_replica *r, struct tmx_job *j) {
+  if (!r->loaded || !j->fin || j->n_placed || !j->tasks) return;
+  free(j->tasks);
+  j->tasks = NULL;
+}
+
 static void unplace(struct tmx_replica *r, struct tmx_task *t) {
   struct tmx_machine *m = t->machine;
   book(r, t, -1);
@@ -319,7 +353,7 @@
   unplace(r, t);
   if (o->how == TMX_END_DONE) {
     t->state = TMX_TASK_DONE;
-    j->n_done++;
+    if (j->fin != TMX_FIN_DONE) j->n_done++;
     j->fails = 0;
     m->errors = 0;
     m->error_two = false;
@@ -333,6 +367,7 @@
     snprintf(m->error_job, sizeof m->error_job, "%s", j->id);
     m->errors++;
   }
+  release(r, j);
   changed(r);
 }
 
@@ -362,39 +397,52 @@
     j->fin = (int)fin;
     for (uint32_t i = 0; j->n_placed && i < j->spec.tasks; i++)
       if (j->tasks[i].machine) touched(r, j->tasks[i].machine);
+    if (j->fin == TMX_FIN_DONE) j->n_done = j->spec.tasks;
+    release(r, j);
   }
   changed(r);
 }
 
-static void apply_batch(struct tmx_replica *r, const char *key, uint64_t stamp,
-                        const cbor_item_t *v) {
+/* Keeps count of the keys of one kind that stand. */
+static void keep_key(struct tmx_log_key **h, const char *key, uint64_t stamp, bool stands) {
   struct tmx_log_key *k;
-  HASH_FIND_STR(r->batches, key, k);
-  if (!v) {
-    if (k) {
-      HASH_DEL(r->batches, k);
-      free(k->key);
-      free(k);
-    }
+  HASH_FIND_STR(*h, key, k);
+  if (!stands) {
+    if (!k) return;
+    HASH_DEL(*h, k);
+    free(k->key);
+    free(k);
     return;
   }
   if (!k) {
     k = xalloc(sizeof *k);
     k->key = strdup(key);
-    HASH_ADD_KEYPTR(hh, r->batches, k->key, strlen(k->key), k);
+    HASH_ADD_KEYPTR(hh, *h, k->key, strlen(k->key), k);
   }
   k->stamp = stamp;
+}
+
+static void apply_batch(struct tmx_replica *r, const char *key, uint64_t stamp,
+                        const cbor_item_t *v) {
+  keep_key(&r->batches, key, stamp, v != NULL);
   const cbor_item_t *ops = tmx_r_get(v, "ops");
   for (size_t i = 0; i < tmx_r_len(ops); i++) {
     char s[128];
     struct tmx_op o;
-    if (tmx_r_str(tmx_r_at(ops, i), s, sizeof s) && tmx_op_parse(s, &o)) apply_op(r, &o);
+    if (!tmx_r_str(tmx_r_at(ops, i), s, sizeof s) || !tmx_op_parse(s, &o)) continue;
+    struct tmx_job *j = tmx_job_find(r, o.job);
+    if (j) j->touched = stamp;
+    apply_op(r, &o);
   }
 }
 
 /* A machine whose key is dropped is gone by proof, and everything on it. */
 static void machine_lost(struct tmx_replica *r, struct tmx_machine *m) {
-  while (m->tasks) unplace(r, m->tasks);
+  while (m->tasks) {
+    struct tmx_job *j = m->tasks->job;
+    unplace(r, m->tasks);
+    release(r, j);
+  }
 }
 
 static void apply_machine(struct tmx_replica *r, const char *id, uint64_t stamp,
@@ -485,7 +533,7 @@
   memcpy(id, rest, (size_t)(c - rest));
   id[c - rest] = 0;
   struct tmx_job *j = tmx_job_find(r, id);
-  if (!j) return;
+  if (!j || !j->tasks) return;
   const cbor_item_t *ts = tmx_r_get(v, "tasks");
   for (size_t i = 0; i < tmx_r_len(ts); i++) {
     char s[96], state, machine[TMX_ID_MAX];
@@ -498,7 +546,7 @@
       if (t->state == TMX_PLACED) unplace(r, t);
       t->attempt = attempt;
       t->state = TMX_TASK_DONE;
-      j->n_done++;
+      if (j->fin != TMX_FIN_DONE) j->n_done++;
     } else if (state == 'w') {
       /* an older batch may still say that this attempt is placed: the page is newer */
       if (t->state == TMX_PLACED) unplace(r, t);
@@ -521,24 +569,14 @@
   } else if (after(key, TMX_K_JOB, &rest)) {
     apply_job(r, rest, stamp, v);
   } else if (after(key, TMX_K_DONE, &rest)) {
+    keep_key(&r->pages, key, stamp, v != NULL);
     apply_done(r, rest, v);
   } else if (after(key, TMX_K_MACHINE, &rest)) {
     apply_machine(r, rest, stamp, v);
   } else if (after(key, TMX_K_NODE, &rest)) {
     apply_node(r, rest, stamp, v);
   } else if (after(key, TMX_K_HIRE, &rest)) {
-    struct tmx_log_key *k;
-    HASH_FIND_STR(r->hires, key, k);
-    if (v && !k) {
-      k = xalloc(sizeof *k);
-      k->key = strdup(key);
-      k->stamp = stamp;
-      HASH_ADD_KEYPTR(hh, r->hires, k->key, strlen(k->key), k);
-    } else if (!v && k) {
-      HASH_DEL(r->hires, k);
-      free(k->key);
-      free(k);
-    }
+    keep_key(&r->hires, key, stamp, v != NULL);
   } else if (!strcmp(key, TMX_K_HEAD)) {
     r->head = stamp;
   } else if (!strcmp(key, TMX_K_VIEW)) {
@@ -582,5 +620,7 @@
     HASH_DEL(r->machines, m);
     free(m);
   }
+  struct tmx_job *j, *jt;
+  HASH_ITER(hh, r->jobs, j, jt) release(r, j);
   changed(r);
 }
--- a/src/state/replica.h
+++ b/src/state/replica.h
@@ -62,6 +62,7 @@
   int fin, team;
   struct tmx_task *tasks;
   uint32_t n_done, n_placed, first_wait;
+  uint64_t touched; /* version of the latest batch that spoke of it */
   uint32_t fails; /* errors in a row */
   double retry_at;
   uint32_t n_ending; /* of the batch being made: tasks that end as done */
@@ -121,7 +122,7 @@
   size_t n_nodes;
   char leader[TMX_NAME_MAX];
   uint64_t leader_stamp, leader_inc;
-  struct tmx_log_key *batches, *hires;
+  struct tmx_log_key *batches, *hires, *pages;
   struct tmx_usage usage[TMX_TEAMS_MAX];
   double now; /* steady clock at the latest event, set by the caller */
   /* told of what changed; may be NULL */
@@ -155,6 +156,9 @@
 bool tmx_spec_parse(const cbor_item_t *m, struct tmx_spec *s, char *id, size_t id_cap);
 void tmx_job_encode(struct tmx_buf *b, const struct tmx_spec *s, double submitted, int fin);
 bool tmx_task_parse(const char *s, char *job, size_t cap, uint32_t *index);
+/* A page of a job's tasks as they stand, from `from` on, of at most max_bytes; returns how many
+ * tasks it holds. */
+uint32_t tmx_page_encode(struct tmx_buf *b, const struct tmx_job *j, uint32_t from, size_t max_bytes);
 void tmx_view_encode(struct tmx_buf *b, const struct tmx_view *v);
 #define TMX_OP_PLACE 'p'
 #define TMX_OP_STOP 's'
--- a/src/worker/worker.c
+++ b/src/worker/worker.c
@@ -239,7 +239,7 @@
 
 static bool current(const struct tmx_replica *rep, const struct worker *r, const struct load *l) {
   struct tmx_job *j = tmx_job_find(rep, l->job);
-  if (!j || l->task >= j->spec.tasks) return false;
+  if (!j || !j->tasks || l->task >= j->spec.tasks) return false;
   const struct tmx_task *t = &j->tasks[l->task];
   return t->state == TMX_PLACED && t->attempt == l->attempt && t->machine &&
          !strcmp(t->machine->id, r->id);
--- a/tests/test_rules.c
+++ b/tests/test_rules.c
@@ -315,6 +315,51 @@
   assert_string_equal(cloud.deleted[0], "n-000001");
 }
 
+static bool folded(void *arg) {
+  (void)arg;
+  return fake_get(TMX_K_DONE "wk-000001/000000") && HASH_COUNT(a->rep.batches) == 0;
+}
+static bool no_pages(void *arg) {
+  (void)arg;
+  return HASH_COUNT(a->rep.pages) == 0;
+}
+/* Folding loses nothing: a controller that starts from the pages alone knows attempts, results
+ * and what runs where, and starts nothing a second time. */
+static void folding(void **st) {
+  (void)st;
+  up(a);
+  submit(a, "wk-000001", "batch", 3, 2, "t");
+  for (int i = 0; i < 200 && w.executed_starts < 3; i++) pump_for(0.02);
+  worker_set(&w, "wk-000001/1", 1, WV_EXITED, WV_DONE);
+  worker_set(&w, "wk-000001/2", 1, WV_EXITED, WV_ERROR);
+  worker_report(&w, a);
+  for (int i = 0; i < 200 && w.executed_starts < 4; i++) {
+    pump_for(0.02);
+    worker_report(&w, a);
+    worker_do(&w);
+  }
+  assert_int_equal(w.executed_starts, 4);
+  tmx_fold_above(a->fold, 0);
+  assert_true(pump(folded, NULL));
+  tmx_ctl_free(a);
+  a = controller(0, 1);
+  assert_true(pump(typed, a));
+  struct tmx_job *j = tmx_job_find(&a->rep, "wk-000001");
+  assert_int_equal(j->tasks[0].state, TMX_PLACED);
+  assert_int_equal(j->tasks[1].state, TMX_TASK_DONE);
+  assert_int_equal(j->tasks[2].attempt, 2);
+  worker_report(&w, a);
+  worker_do(&w);
+  pump_for(0.3);
+  assert_int_equal(w.executed_starts, 4);
+  worker_set(&w, "wk-000001/0", 1, WV_EXITED, WV_DONE);
+  worker_set(&w, "wk-000001/2", 2, WV_EXITED, WV_DONE);
+  worker_report(&w, a);
+  assert_true(pump(final_state, "wk-000001"));
+  assert_true(pump(no_pages, NULL)); /* the final state is enough from here on */
+  assert_string_equal(poll_job(a, "wk-000001").state, WV_DONE);
+}
+
 static void answers_to_submissions(void **st) {
   (void)st;
   struct tmx_buf body = {0};
@@ -387,6 +432,7 @@
       cmocka_unit_test_setup_teardown(lost_answer_to_a_batch, setup, teardown),
       cmocka_unit_test_setup_teardown(cancelled_work_is_stopped, setup, teardown),
       cmocka_unit_test_setup_teardown(silent_machine, setup, teardown),
+      cmocka_unit_test_setup_teardown(folding, setup, teardown),
       cmocka_unit_test_setup_teardown(answers_to_submissions, setup, teardown),
       cmocka_unit_test_setup_teardown(hostile_connections, setup, teardown),
   };
