Take cut-off workers over in one view, answer the report that waits, ignore late copies

Also, a deleted machine that lists still showed was deleted again every 2 s. The view drops its oldest exceptions before it would pass the size of a value.

--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -53,6 +53,9 @@
 #define TMX_TAKE_AFTER_S 5.0          /* a worker that comes back this long after being sent to its
                                          owner cannot reach it: take it over */
 #define TMX_TAKE_WITHIN_S 20.0        /* ... and within this */
+#define TMX_TAKE_MAX 32               /* machines taken over in one view */
+#define TMX_TAKE_HOLD_S 0.6           /* a report waits this long for the view that takes its worker */
+#define TMX_VIEW_SPACING_S 0.15       /* between two views of one controller */
 #define TMX_HEARD_S 4.5               /* no report for this long: no new tasks on the machine */
 #define TMX_SILENT_REPORTS 1.4        /* report periods without a report anywhere (they vary by a
                                          quarter) before a machine may be given up */
--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -423,12 +423,8 @@
   if (status == 200) {
     struct tmx_txn t = {0};
     for (size_t i = 0; i < d->n; i++) {
-      struct listed *l;
-      HASH_FIND_STR(k->listed, d->ids[i], l);
-      if (l) {
-        HASH_DEL(k->listed, l);
-        free(l);
-      }
+      /* lists lag: it stays marked until none has shown it for long, and is not deleted again */
+      listed_make(k, d->ids[i])->deleting = true;
       if (!tmx_machine_find(&k->c->rep, d->ids[i])) continue;
       char key[TMX_KEY_MAX + 1];
       snprintf(key, sizeof key, TMX_K_MACHINE "%s", d->ids[i]);
@@ -640,6 +636,7 @@
   struct listed *l, *lt;
   HASH_ITER(hh, k->listed, l, lt) {
     if (d->n == max || l->deleting) continue;
+    if (!l->type[0]) continue;
     m = tmx_machine_find(r, l->id);
     if (m && m->known) {
       l->unheard_since = 0;
--- a/src/controller.c
+++ b/src/controller.c
@@ -136,11 +136,20 @@
   c->view_busy = false;
 }
 
-static void commit_view(struct tmx_ctl *c, const struct tmx_view *v) {
+static void commit_view(struct tmx_ctl *c, const struct tmx_view *new_view) {
   struct tmx_txn t = {0};
   struct tmx_buf b = {0};
+  struct tmx_view copy = *new_view, *v = &copy;
   tmx_txn_if(&t, TMX_K_VIEW, c->rep.view.stamp);
   tmx_view_encode(&b, v);
+  /* a value is bounded: the oldest exceptions go, their machines fall back to the hash */
+  while (b.n > c->set.value_kb * 1024 * 0.8 && v->n_exceptions) {
+    size_t cut = v->n_exceptions / 4 + 1;
+    v->exceptions += cut;
+    v->n_exceptions -= cut;
+    b.n = 0;
+    tmx_view_encode(&b, v);
+  }
   tmx_txn_put(&t, TMX_K_VIEW, &b, 0);
   tmx_txn_head(&t, c->set.node);
   tmx_buf_free(&b);
@@ -148,21 +157,26 @@
   c->view_busy = tmx_link_commit(c->link, &t, true, on_view, c);
 }
 
-void tmx_ctl_take(struct tmx_ctl *c, const char *machine) {
-  if (c->view_busy || !tmx_link_member(c->link) || tmx_now() - c->view_at < 0.2) return;
+void tmx_ctl_take(struct tmx_ctl *c, const char *const *machines, size_t n) {
+  if (c->view_busy || !tmx_link_member(c->link) || tmx_now() - c->view_at < TMX_VIEW_SPACING_S) return;
   struct tmx_view v = c->rep.view;
-  struct tmx_exception *e = calloc(v.n_exceptions + 1, sizeof *e);
+  struct tmx_exception *e = calloc(v.n_exceptions + n, sizeof *e);
   if (!e) abort();
-  size_t n = 0;
-  for (size_t i = 0; i < v.n_exceptions; i++)
-    if (strcmp(v.exceptions[i].machine, machine) && tmx_machine_find(&c->rep, v.exceptions[i].machine))
-      e[n++] = v.exceptions[i];
-  snprintf(e[n].machine, sizeof e[n].machine, "%s", machine);
-  snprintf(e[n].node, sizeof e[n].node, "%s", c->set.node);
+  size_t at = 0;
+  for (size_t i = 0; i < v.n_exceptions; i++) {
+    const char *m = v.exceptions[i].machine;
+    bool stays = tmx_machine_find(&c->rep, m) != NULL;
+    for (size_t k = 0; stays && k < n; k++) stays = strcmp(m, machines[k]) != 0;
+    if (stays) e[at++] = v.exceptions[i];
+  }
+  for (size_t k = 0; k < n; k++, at++) {
+    snprintf(e[at].machine, sizeof e[at].machine, "%s", machines[k]);
+    snprintf(e[at].node, sizeof e[at].node, "%s", c->set.node);
+    tmx_log(TMX_INFO, "view: taking %s, which cannot reach its owner", machines[k]);
+  }
   v.exceptions = e;
-  v.n_exceptions = n + 1;
+  v.n_exceptions = at;
   v.term++;
-  tmx_log(TMX_INFO, "view: taking %s, which cannot reach its owner", machine);
   commit_view(c, &v);
   free(e);
 }
@@ -172,7 +186,7 @@
 static void view_step(struct tmx_ctl *c) {
   struct tmx_replica *r = &c->rep;
   double now = tmx_now();
-  if (!tmx_link_inc(c->link) || !r->loaded || c->view_busy || now - c->view_at < 0.3) return;
+  if (!tmx_link_inc(c->link) || !r->loaded || c->view_busy || now - c->view_at < TMX_VIEW_SPACING_S) return;
   if (!r->leader_stamp || strcmp(r->leader, c->set.node) || r->leader_inc != tmx_link_inc(c->link))
     return;
   struct tmx_view v = {.term = r->view.term + 1};
--- a/src/controller.h
+++ b/src/controller.h
@@ -44,8 +44,8 @@
 bool tmx_ctl_fresh(const struct tmx_ctl *c);          /* may act for the controllers */
 bool tmx_ctl_cut_off(const struct tmx_ctl *c);        /* from a state service that others reach */
 uint64_t tmx_ctl_token(const struct tmx_ctl *c, uint32_t bump);
-/* Takes a machine over from an owner that it cannot reach. */
-void tmx_ctl_take(struct tmx_ctl *c, const char *machine);
+/* Takes machines over from owners that they cannot reach. */
+void tmx_ctl_take(struct tmx_ctl *c, const char *const *machines, size_t n);
 int tmx_retry_after(void);
 
 /* src/state: folding of old batches, by the leader */
--- a/src/worker/worker.c
+++ b/src/worker/worker.c
@@ -25,6 +25,9 @@
   uint64_t session, seq, seen; /* seen: the highest token the worker has seen */
   double heard_at;             /* last report that came here; 0: never */
   double bounced_at;
+  /* a report that waits, for a moment, until this controller is the owner */
+  struct tmx_req *held;
+  double held_at;
   bool notice;
   struct load *loads;
   size_t n_loads;
@@ -78,8 +81,17 @@
   return w;
 }
 
+static void answer_move(struct tmx_req *q, const char *to) {
+  struct tmx_buf b = {0};
+  tmx_w_map(&b, to ? 1 : 0);
+  if (to) tmx_w_kstr(&b, W_REPORT_TO, to);
+  tmx_req_reply(q, 421, &b, 0);
+  tmx_buf_free(&b);
+}
+
 static void worker_free(struct tmx_workers *w, struct worker *r) {
   HASH_DEL(w->all, r);
+  if (r->held) answer_move(r->held, NULL);
   if (r->client) tmx_client_free(r->client);
   if (r->probe) tmx_client_free(r->probe);
   free(r->loads);
@@ -348,24 +360,33 @@
   if (r) worker_free(w, r);
 }
 
+static void answer_owned(struct tmx_workers *w, struct worker *r, struct tmx_req *q);
+
 /* Sends what the latest events made due; called after events were applied, not within. */
 void tmx_workers_tick(struct tmx_workers *w) {
   struct worker *r, *t;
+  const char *take[TMX_TAKE_MAX];
+  size_t n = 0;
   HASH_ITER(hh, w->all, r, t) {
+    if (r->held) {
+      struct tmx_req *q = r->held;
+      if (!q->conn || tmx_now() - r->held_at > TMX_TAKE_HOLD_S) {
+        r->held = NULL;
+        answer_move(q, NULL);
+      } else if (tmx_ctl_fresh(w->c) && refresh_owner(w, r)) {
+        r->held = NULL;
+        answer_owned(w, r, q);
+      } else if (n < TMX_TAKE_MAX) {
+        take[n++] = r->id;
+      }
+    }
     if (r->dirty && !r->in_flight) send_direct(w, r);
   }
+  if (n) tmx_ctl_take(w->c, take, n);
 }
 
 /* ------------------------------------------------------------ reports */
 
-static void answer_move(struct tmx_req *q, const char *to) {
-  struct tmx_buf b = {0};
-  tmx_w_map(&b, to ? 1 : 0);
-  if (to) tmx_w_kstr(&b, W_REPORT_TO, to);
-  tmx_req_reply(q, 421, &b, 0);
-  tmx_buf_free(&b);
-}
-
 /* A worker that was sent to its owner and is back, or that its owner has lost, cannot reach it. */
 static bool cut_from_owner(struct tmx_workers *w, struct worker *r, const char *owner, double now) {
   double back = now - r->bounced_at;
@@ -404,17 +425,27 @@
   if (!refresh_owner(w, r)) {
     const char *owner = tmx_owner_of(&c->rep, r->id);
     if (owner && !strcmp(owner, c->set.node)) owner = NULL; /* this run is not in the view yet */
-    if (owner && tmx_link_member(c->link) && cut_from_owner(w, r, owner, now)) {
-      tmx_ctl_take(c, r->id);
-      owner = NULL;
+    if (owner && latest && !r->held && tmx_link_member(c->link) &&
+        cut_from_owner(w, r, owner, now)) {
+      r->held = q;
+      r->held_at = now;
+      return;
     }
-    if (owner) r->bounced_at = now;
+    if (owner && latest) r->bounced_at = now;
     answer_move(q, owner);
     return;
   }
+  if (!latest) { /* a late copy: nobody waits for its answer */
+    answer_move(q, NULL);
+    return;
+  }
+  answer_owned(w, r, q);
+}
+
+static void answer_owned(struct tmx_workers *w, struct worker *r, struct tmx_req *q) {
   r->bounced_at = 0;
-  uint64_t token = tmx_ctl_token(c, r->bump);
-  if (r->seen > token || !latest) { /* a newer owner has been at it, or a late copy */
+  uint64_t token = tmx_ctl_token(w->c, r->bump);
+  if (r->seen > token) { /* a newer owner has been at it */
     answer_move(q, NULL);
     return;
   }
