--- a/src/user/user.c
+++ b/src/user/user.c
@@ -33,7 +33,11 @@
 }
 void tmx_users_free(struct tmx_users *u) { free(u); }
 
-static void refuse(struct tmx_req *q) { tmx_req_reply(q, 503, NULL, tmx_retry_after()); }
+static void refuse(struct tmx_req *q) {
+  if (tmx_log_on(TMX_DEBUG))
+    tmx_log(TMX_DEBUG, "user: %s refused for now", q->method == HTTP_POST ? "request" : "poll");
+  tmx_req_reply(q, 503, NULL, tmx_retry_after());
+}
 
 static void answer_named(struct tmx_req *q, int status, const char *id, const char *state,
                          const struct tmx_job *j) {
