--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -46,9 +46,12 @@
                                          machine */
 #define TMX_NO_AIM_S 600.0            /* when a job of a class without an aim counts as late */
 #define TMX_STARVED 3.0               /* times its aim: a job that old goes first */
+#define TMX_ENDS_ROUND 512            /* ended attempts taken into one round */
 #define TMX_PLAN_TASKS 400            /* tasks placed in one round at most */
 
 /* --- workers (s) --- */
+#define TMX_BUMP_BITS 24              /* of a token, below the term: bumps of one machine */
+#define TMX_BUMP_MAX ((1u << TMX_BUMP_BITS) - 1)
 #define TMX_COMMAND_TIMEOUT_S 1.5     /* unanswered after this: bump the token */
 #define TMX_TAKE_AFTER_S 5.0          /* a worker that comes back this long after being sent to its
                                          owner cannot reach it: take it over */
--- a/src/controller.c
+++ b/src/controller.c
@@ -124,7 +124,7 @@
 }
 
 uint64_t tmx_ctl_token(const struct tmx_ctl *c, uint32_t bump) {
-  return (c->rep.view.term << 24) + bump;
+  return (c->rep.view.term << TMX_BUMP_BITS) + bump;
 }
 
 /* ------------------------------------------------------------ view */
@@ -215,8 +215,10 @@
 
 /* ------------------------------------------------------------ rounds */
 
+/* What reports proved when the round began. The plan gives away the room of these attempts, so
+ * the very same ends go into its batch, before its placements. */
 struct ends {
-  struct tmx_op ops[512];
+  struct tmx_op ops[TMX_ENDS_ROUND];
   size_t n;
 };
 
@@ -265,7 +267,7 @@
   return strcmp(x->id, y->id);
 }
 
-static struct tmx_plan_input *snapshot(struct tmx_ctl *c, struct ends *ends, size_t *waiting) {
+static struct tmx_plan_input *snapshot(struct tmx_ctl *c, const struct ends *ends, size_t *waiting) {
   struct tmx_replica *r = &c->rep;
   double now = tmx_now(), wall = tmx_wall();
   struct tmx_plan_input *in = calloc(1, sizeof *in);
@@ -431,7 +433,7 @@
 /* Puts the batch together within the limits of values and transactions, and sends it. What
  * does not fit is found again by the next round. */
 static void commit_round(struct tmx_ctl *c, const struct tmx_plan_output *plan) {
-  static struct ends ends;
+  const struct ends *ends = c->ends;
   struct tmx_replica *r = &c->rep;
   struct tmx_txn t = {0};
   size_t value_max = (size_t)(c->set.value_kb * 1024 * 0.85), bytes = 0, lines = 0;
@@ -461,29 +463,29 @@
     tmx_w_kbool(&v, "spot", facts[i].spot);
     tmx_txn_put(&t, key, &v, 0);
   }
-  ends.n = tmx_workers_ends(c->workers, ends.ops, 512);
   struct tmx_buf list = {0};
   size_t e = 0, o = 0, n_plan = plan ? plan->n_ops : 0;
   bool more = false;
   struct tmx_job *finished[64];
   size_t n_fin = 0;
-  while (spare > 0 && (e < ends.n || o < n_plan)) {
+  while (spare > 0 && (e < ends->n || o < n_plan)) {
     list.n = 0;
     lines = bytes = 0;
-    while (e < ends.n || o < n_plan) {
-      const struct tmx_op *op = e < ends.n ? &ends.ops[e] : &plan->ops[o];
+    while (e < ends->n || o < n_plan) {
+      const struct tmx_op *op = e < ends->n ? &ends->ops[e] : &plan->ops[o];
       char line[128];
       int n = tmx_op_print(line, sizeof line, op);
       if (bytes + (size_t)n + 4 > value_max || t.ops.n + list.n > TMX_TXN_BYTES) break;
-      if (e < ends.n) {
+      if (e < ends->n) {
         struct tmx_task *tk = task_of(r, op);
-        if (op->how == TMX_END_DONE && !tk->job->fin) {
+        if (tk && op->how == TMX_END_DONE && !tk->job->fin) {
           /* the last task's end and the job's final state are one transaction */
           if (tk->job->n_done + ++tk->job->n_ending == tk->job->spec.tasks) {
             if (spare < 2 || n_fin == 64) {
               tk->job->n_ending--;
               e++;
               more = true;
+              n_plan = 0; /* its room is not free in the log: nothing may be placed on it */
               continue;
             }
             finished[n_fin++] = tk->job;
@@ -511,8 +513,11 @@
     spare--;
     if (t.ops.n > TMX_TXN_BYTES) break;
   }
-  if (e < ends.n || o < n_plan) more = true;
-  for (size_t i = 0; i < ends.n; i++) task_of(r, &ends.ops[i])->job->n_ending = 0;
+  if (e < ends->n || o < n_plan) more = true;
+  for (size_t i = 0; i < ends->n; i++) {
+    struct tmx_task *tk = task_of(r, &ends->ops[i]);
+    if (tk) tk->job->n_ending = 0;
+  }
   for (size_t i = 0; i < n_fin; i++) {
     struct tmx_job *j = finished[i];
     snprintf(key, sizeof key, TMX_K_JOB "%s", j->id);
@@ -532,7 +537,7 @@
   }
   tmx_txn_head(&t, c->set.node);
   if (tmx_log_on(TMX_DEBUG))
-    tmx_log(TMX_DEBUG, "round: %zu ends, %zu planned, %d keys", ends.n, n_plan, t.n_ops);
+    tmx_log(TMX_DEBUG, "round: %zu ends, %zu planned, %d keys", ends->n, n_plan, t.n_ops);
   if (!tmx_link_commit(c->link, &t, false, on_batch, c)) {
     c->round_busy = false;
     tmx_ctl_kick_in(c, TMX_STATE_RETRY_S);
@@ -562,7 +567,6 @@
 static void on_round(struct ev_loop *l, ev_timer *w, int ev) {
   (void)l;
   (void)ev;
-  static struct ends ends;
   struct tmx_ctl *c = w->data;
   double now = tmx_now();
   if (c->round_busy) return; /* its end kicks the next one */
@@ -573,11 +577,11 @@
     return;
   }
   c->round_at = now;
-  ends.n = tmx_workers_ends(c->workers, ends.ops, 512);
+  c->ends->n = tmx_workers_ends(c->workers, c->ends->ops, TMX_ENDS_ROUND);
   size_t waiting, moving = 0;
   struct tmx_machine *m, *mt;
   HASH_ITER(hh, c->rep.machines, m, mt) moving += m->drain && m->n_tasks;
-  struct tmx_plan_input *in = snapshot(c, &ends, &waiting);
+  struct tmx_plan_input *in = snapshot(c, c->ends, &waiting);
   c->round_busy = true;
   if (!waiting && !(moving && in->leading)) {
     tmx_plan_input_free(in);
@@ -658,6 +662,8 @@
   c->rep.on_machine = on_machine;
   c->rep.on_gone = on_gone;
   c->rep.on_change = on_change;
+  c->ends = calloc(1, sizeof *c->ends);
+  if (!c->ends) abort();
   ev_timer_init(&c->round, on_round, 0, 0);
   c->round.data = c;
   c->workers = tmx_workers_new(c);
@@ -699,5 +705,6 @@
   tmx_users_free(c->users);
   tmx_workers_free(c->workers);
   tmx_replica_clear(&c->rep);
+  free(c->ends);
   free(c);
 }
--- a/src/controller.h
+++ b/src/controller.h
@@ -15,6 +15,7 @@
 struct tmx_peers;
 struct tmx_planner;
 struct tmx_fold;
+struct ends;
 
 struct tmx_ctl {
   struct ev_loop *loop;
@@ -33,6 +34,7 @@
   bool round_busy, round_wanted, view_busy;
   double round_at, wait_rev_at, view_at;
   uint64_t wait_rev, batch_seq;
+  struct ends *ends; /* of the round under way */
 };
 
 /* false: err says why */
--- a/src/worker/worker.c
+++ b/src/worker/worker.c
@@ -33,6 +33,7 @@
   size_t n_loads;
   /* as its owner */
   bool owned;
+  uint64_t term; /* of the view that `owned` was last compared with */
   uint32_t bump;
   uint64_t fence;      /* absence proves nothing while seen < fence */
   bool starts_out;     /* a response with starts was sent; the next report tells */
@@ -113,12 +114,15 @@
  * still be under way: until the worker has seen a token of ours, absence proves nothing. */
 static bool refresh_owner(struct tmx_workers *w, struct worker *r) {
   bool now = own(w, r->id);
-  if (now && !r->owned) {
+  uint64_t term = w->c->rep.view.term;
+  /* a view that was not seen may have given the machine to another and back */
+  if (now && (!r->owned || term > r->term + 1)) {
     r->fence = tmx_ctl_token(w->c, r->bump);
     r->starts_out = false;
     r->unanswered = false;
   }
   r->owned = now;
+  r->term = term;
   return now;
 }
 
@@ -157,8 +161,10 @@
   return true;
 }
 
-/* Takes a report in, from a request or from the answer to a command. false: malformed. */
-static bool take_report(struct tmx_workers *w, const cbor_item_t *m, struct worker **out) {
+/* Takes a report in: from a request, or (hello false) from the answer to a command or a probe.
+ * false: malformed. */
+static bool take_report(struct tmx_workers *w, const cbor_item_t *m, bool hello,
+                        struct worker **out) {
   struct tmx_worker_facts f = {0};
   uint64_t session, seq, seen = 0;
   double notice = -1;
@@ -192,7 +198,9 @@
   r->facts = f;
   if (seen > r->seen) r->seen = seen;
   if (r->unanswered && r->seen >= r->fence) r->unanswered = false;
-  r->starts_out = false;
+  /* Only the next request tells that the answer to the one before was executed or dropped: a probe
+   * may overtake an answer that is still on its way. */
+  if (hello) r->starts_out = false;
   if ((notice >= 0) != r->notice) {
     r->notice = notice >= 0;
     tmx_log(TMX_INFO, "worker: %s notice %s", r->id, r->notice ? "given" : "withdrawn");
@@ -304,14 +312,14 @@
     /* No answer, or none that tells. It may still run, minutes later: a higher token goes out first, and until the worker has
      * seen it no absence is believed. */
     r->unanswered = true;
-    r->bump++;
+    if (r->bump < TMX_BUMP_MAX) r->bump++;
     r->fence = tmx_ctl_token(w->c, r->bump);
     return;
   }
   if (status != 200 && status != 409) return;
   cbor_item_t *m = tmx_cbor_parse(body, len);
   struct worker *same = NULL;
-  if (m && take_report(w, m, &same) && same == r && (status == 200 || r->dirty)) send_direct(w, r);
+  if (m && take_report(w, m, false, &same) && same == r && (status == 200 || r->dirty)) send_direct(w, r);
   tmx_cbor_free(m);
 }
 
@@ -352,7 +360,9 @@
 
 void tmx_workers_changed(struct tmx_workers *w, const char *machine) {
   struct worker *r = find(w, machine);
-  if (r) r->dirty = true;
+  if (!r) return;
+  r->dirty = true;
+  refresh_owner(w, r); /* at every view, one by one */
 }
 
 void tmx_workers_gone(struct tmx_workers *w, const char *machine) {
@@ -401,7 +411,7 @@
   struct tmx_ctl *c = w->c;
   cbor_item_t *m = tmx_cbor_parse(q->body, q->body_len);
   struct worker *r = NULL;
-  if (!m || !take_report(w, m, &r) || !r) {
+  if (!m || !take_report(w, m, true, &r) || !r) {
     tmx_cbor_free(m);
     tmx_req_reply(q, 400, NULL, 0);
     return;
@@ -514,7 +524,7 @@
   struct worker *same = NULL;
   r->probe_busy = false;
   cbor_item_t *m = status == 200 ? tmx_cbor_parse(body, len) : NULL;
-  if (m && take_report(r->w, m, &same) && same == r) {
+  if (m && take_report(r->w, m, false, &same) && same == r) {
     r->probes_lost = 0;
     r->shown_at = tmx_now();
   } else {
--- a/tests/test_rules.c
+++ b/tests/test_rules.c
@@ -138,6 +138,28 @@
   assert_true(pump(none_placed, NULL));
 }
 
+/* A probe's answer may overtake the answer to a report that carries a start: it is no proof that
+ * the start will not run. Only the next report is. */
+static void probe_overtakes_an_answer(void **st) {
+  (void)st;
+  up(a);
+  w.mute = true;
+  submit(a, "wk-000001", "batch", 1, 2, "t");
+  assert_true(pump(placed, NULL));
+  for (int i = 0; i < 100 && !w.commands; i++) pump_for(0.02);
+  pump_for(0.1);
+  worker_report(&w, a);
+  assert_true(worker_has(&w, WV_START, "wk-000001/0", 1)); /* not executed yet */
+  assert_string_equal(cancel_job(a, "wk-000001").state, WV_CANCELLED);
+  uint64_t seq = w.seq;
+  for (int i = 0; i < 300 && w.seq < seq + 2; i++) pump_for(0.02);
+  assert_true(w.seq >= seq + 2); /* probes were answered */
+  pump_for(0.4);
+  assert_int_equal(fake_placed(), 1);
+  worker_report(&w, a);
+  assert_true(pump(none_placed, NULL));
+}
+
 /* An heir has nothing but the log: it starts what is placed and absent, with a higher token. */
 static void restart_between_log_and_start(void **st) {
   (void)st;
@@ -422,6 +444,7 @@
       cmocka_unit_test_setup_teardown(a_task_from_start_to_end, setup, teardown),
       cmocka_unit_test_setup_teardown(no_start_after_forgetting, setup, teardown),
       cmocka_unit_test_setup_teardown(unanswered_command, setup, teardown),
+      cmocka_unit_test_setup_teardown(probe_overtakes_an_answer, setup, teardown),
       cmocka_unit_test_setup_teardown(restart_between_log_and_start, setup, teardown),
       cmocka_unit_test_setup_teardown(lapsed_lease, setup, teardown),
       cmocka_unit_test_setup_teardown(newer_owner, setup, teardown),
