--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -14,10 +14,10 @@
   char id[TMX_ID_MAX], type[TMX_ID_MAX];
   int zone, state;
   bool spot;
-  double held, at;     /* held_s as of the list read at `at` */
-  double rented_at;    /* by this controller; 0: from a list */
+  double held, at;      /* held_s as of the list read at `at` */
+  double rented_at;     /* by this controller; 0: from a list */
   double unheard_since; /* up by the list, but no report */
-  unsigned pass;       /* list pass that showed it */
+  unsigned pass;        /* list pass that showed it */
   bool deleting;
   UT_hash_handle hh;
 };
@@ -141,9 +141,8 @@
     const cbor_item_t *zs = tmx_r_get(e, W_ZONES);
     for (size_t z = 0; z < tmx_r_len(zs); z++) {
       char name[TMX_NAME_MAX];
-      int zi = tmx_r_str(tmx_r_at(zs, z), name, sizeof name)
-                   ? tmx_zone_index(&k->c->set, name)
-                   : -1;
+      int zi =
+          tmx_r_str(tmx_r_at(zs, z), name, sizeof name) ? tmx_zone_index(&k->c->set, name) : -1;
       if (zi >= 0) d->zones[zi] = true;
     }
     n++;
@@ -192,7 +191,7 @@
     tmx_r_kbool(e, W_SPOT, &l->spot);
     tmx_r_knum(e, W_AGE, &l->held);
     if (tmx_r_kstr(e, W_STATE, state, sizeof state)) {
-      int s = !strcmp(state, WV_BOOTING) ? LS_BOOTING
+      int s = !strcmp(state, WV_BOOTING)  ? LS_BOOTING
               : !strcmp(state, WV_FAILED) ? LS_FAILED
                                           : LS_RUNNING;
       if (s > l->state) l->state = s; /* lists may be older than the one before */
@@ -227,8 +226,7 @@
   if (k->list_busy || !may_call(k)) return;
   snprintf(path, sizeof path, WP_MACHINES "?%s%s%spage=500", k->from[0] ? "from=" : "", k->from,
            k->from[0] ? "&" : "");
-  k->list_busy =
-      tmx_client_call(k->http, "GET", path, NULL, TMX_CLOUD_TIMEOUT_S, on_list, k);
+  k->list_busy = tmx_client_call(k->http, "GET", path, NULL, TMX_CLOUD_TIMEOUT_S, on_list, k);
 }
 
 /* ------------------------------------------------------------ renting */
@@ -312,8 +310,8 @@
   tmx_w_kstr(&b, W_ZONE, h->k->c->set.zones[h->zone]);
   tmx_w_kbool(&b, W_SPOT, h->spot);
   tmx_w_ku64(&b, W_COUNT, h->count);
-  bool ok = may_call(h->k) && tmx_client_call(h->k->http, "POST", WP_MACHINES, &b,
-                                              TMX_CLOUD_TIMEOUT_S, on_hired, h);
+  bool ok = may_call(h->k) &&
+            tmx_client_call(h->k->http, "POST", WP_MACHINES, &b, TMX_CLOUD_TIMEOUT_S, on_hired, h);
   tmx_buf_free(&b);
   if (!ok) drop_hire(h);
 }
@@ -523,7 +521,8 @@
     for (struct tmx_task *x = m->tasks; x; x = x->next)
       if (x->job->spec.service) services += x->job->spec.cpus;
     double spare = zone_free[m->zone] - (t->cpus - m->cpus);
-    if (services > 0 && spare < TMX_ROOM_TO_MOVE * services + TMX_ROOM_AFTER * peak / (double)c->set.n_zones)
+    if (services > 0 &&
+        spare < TMX_ROOM_TO_MOVE * services + TMX_ROOM_AFTER * peak / (double)c->set.n_zones)
       continue;
     /* price of a CPU, less for work under way and for replicas that must move */
     double v = (m->spot ? t->spot_price : t->price) / t->cpus * (1.2 - m->cpus / t->cpus) *
@@ -548,7 +547,8 @@
   d->k = k;
   size_t max = (size_t)c->set.txn_ops - 2;
   if (max > 50) max = 50;
-  double silent = c->set.op.silent_s > 0 ? c->set.op.silent_s : c->set.report_s * TMX_SILENT_REPORTS;
+  double silent =
+      c->set.op.silent_s > 0 ? c->set.op.silent_s : c->set.report_s * TMX_SILENT_REPORTS;
   bool settled = now - k->led_since > TMX_SETTLE_S && peers_all_heard(c);
   bool waiting = false;
   struct tmx_job *j, *jt;
@@ -597,12 +597,15 @@
       lost = tmx_workers_probe(c->workers, m);
     if (age < silent && !reaching) lost = 0;
     const char *why = NULL;
-    if (l && l->state == LS_FAILED) why = "failed";
+    if (l && l->state == LS_FAILED)
+      why = "failed";
     else if (settled && lost >= TMX_PROBES_LOST &&
              (m->zone < 0 || now > k->cut_until[m->zone] || (age > c->set.lease_s && lapsed)))
       why = "silent";
-    else if (m->drain && !m->tasks) why = "drained";
-    else if (m->errors >= TMX_SICK_ERRORS && m->error_two && !m->tasks) why = "faulty";
+    else if (m->drain && !m->tasks)
+      why = "drained";
+    else if (m->errors >= TMX_SICK_ERRORS && m->error_two && !m->tasks)
+      why = "faulty";
     if (why) {
       tmx_log(TMX_INFO, "cloud: deleting %s: %s", m->id, why);
       snprintf(d->ids[d->n++], TMX_ID_MAX, "%s", m->id);
@@ -664,8 +667,8 @@
     tmx_w_str(&b, W_MACHINES);
     tmx_w_list(&b, d->n);
     for (size_t i = 0; i < d->n; i++) tmx_w_str(&b, d->ids[i]);
-    k->delete_busy = tmx_client_call(k->http, "POST", WP_DELETE, &b, TMX_CLOUD_TIMEOUT_S,
-                                     on_deleted, d);
+    k->delete_busy =
+        tmx_client_call(k->http, "POST", WP_DELETE, &b, TMX_CLOUD_TIMEOUT_S, on_deleted, d);
     tmx_buf_free(&b);
   }
   if (!k->delete_busy) {
@@ -679,15 +682,14 @@
 
 void tmx_cloud_tick(struct tmx_cloud *k) {
   double now = tmx_now();
-  if (!k->types_busy &&
-      now - k->types_at > (k->n_types ? TMX_CATALOG_S : TMX_CATALOG_RETRY_S) && may_call(k)) {
+  if (!k->types_busy && now - k->types_at > (k->n_types ? TMX_CATALOG_S : TMX_CATALOG_RETRY_S) &&
+      may_call(k)) {
     k->types_at = now;
     k->types_busy =
         tmx_client_call(k->http, "GET", WP_TYPES, NULL, TMX_CLOUD_TIMEOUT_S, on_types, k);
   }
   /* a leader that lost the state service may have been replaced: it gives nothing up */
-  if (!tmx_link_leading(k->c->link) ||
-      now - tmx_link_confirmed(k->c->link) > TMX_STATE_LOST_S) {
+  if (!tmx_link_leading(k->c->link) || now - tmx_link_confirmed(k->c->link) > TMX_STATE_LOST_S) {
     k->led_since = now;
     k->from[0] = 0;
     return;
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -23,8 +23,7 @@
   return true;
 }
 
-extern "C" bool tmx_operator_load(struct tmx_operator *o, const char *path, char *err,
-                                  size_t cap) {
+extern "C" bool tmx_operator_load(struct tmx_operator *o, const char *path, char *err, size_t cap) {
   try {
     const toml::value root = toml::parse(path);
     for (const auto &kv : root.as_table()) {
--- a/src/controller.c
+++ b/src/controller.c
@@ -24,7 +24,8 @@
     struct timespec t;
     clock_gettime(CLOCK_REALTIME, &t);
     g = gsl_rng_alloc(gsl_rng_mt19937);
-    gsl_rng_set(g, (unsigned long)t.tv_nsec ^ ((unsigned long)getpid() << 20) ^ (unsigned long)t.tv_sec);
+    gsl_rng_set(
+        g, (unsigned long)t.tv_nsec ^ ((unsigned long)getpid() << 20) ^ (unsigned long)t.tv_sec);
   }
   return g;
 }
@@ -158,7 +159,8 @@
 }
 
 void tmx_ctl_take(struct tmx_ctl *c, const char *const *machines, size_t n) {
-  if (c->view_busy || !tmx_link_member(c->link) || tmx_now() - c->view_at < TMX_VIEW_SPACING_S) return;
+  if (c->view_busy || !tmx_link_member(c->link) || tmx_now() - c->view_at < TMX_VIEW_SPACING_S)
+    return;
   struct tmx_view v = c->rep.view;
   struct tmx_exception *e = calloc(v.n_exceptions + n, sizeof *e);
   if (!e) abort();
@@ -186,7 +188,8 @@
 static void view_step(struct tmx_ctl *c) {
   struct tmx_replica *r = &c->rep;
   double now = tmx_now();
-  if (!tmx_link_inc(c->link) || !r->loaded || c->view_busy || now - c->view_at < TMX_VIEW_SPACING_S) return;
+  if (!tmx_link_inc(c->link) || !r->loaded || c->view_busy || now - c->view_at < TMX_VIEW_SPACING_S)
+    return;
   if (!r->leader_stamp || strcmp(r->leader, c->set.node) || r->leader_inc != tmx_link_inc(c->link))
     return;
   struct tmx_view v = {.term = r->view.term + 1};
@@ -267,7 +270,8 @@
   return strcmp(x->id, y->id);
 }
 
-static struct tmx_plan_input *snapshot(struct tmx_ctl *c, const struct ends *ends, size_t *waiting) {
+static struct tmx_plan_input *snapshot(struct tmx_ctl *c, const struct ends *ends,
+                                       size_t *waiting) {
   struct tmx_replica *r = &c->rep;
   double now = tmx_now(), wall = tmx_wall();
   struct tmx_plan_input *in = calloc(1, sizeof *in);
@@ -395,9 +399,9 @@
       double ran = now - t->placed_at;
       const struct tmx_spec *s = &t->job->spec;
       if (s->checkpoint_s > 0) ran = s->save_s + 1; /* it saves before it goes */
-      in->running[in->n_running++] =
-          (struct tmx_plan_running){m->plan_index, t->job->plan_index, tmx_task_index(t),
-                                    t->attempt, ran, t->stop || t->job->fin};
+      in->running[in->n_running++] = (struct tmx_plan_running){
+          m->plan_index, t->job->plan_index,    tmx_task_index(t), t->attempt,
+          ran,           t->stop || t->job->fin};
     }
   }
   for (size_t i = 0; i < ends->n; i++) task_of(r, &ends->ops[i])->ending = false;
@@ -650,7 +654,6 @@
   }
 }
 
-
 struct tmx_ctl *tmx_ctl_new(struct ev_loop *loop, const struct tmx_settings *s, char *err,
                             size_t cap) {
   struct tmx_ctl *c = calloc(1, sizeof *c);
@@ -673,8 +676,8 @@
     snprintf(err, cap, "settings: peer_listen: %s cannot be listened on", s->peer_listen);
     return NULL;
   }
-  c->server = tmx_server_new(loop, s->listen, (int)(s->sockets * TMX_SERVER_CONNS_SHARE),
-                             on_request, c);
+  c->server =
+      tmx_server_new(loop, s->listen, (int)(s->sockets * TMX_SERVER_CONNS_SHARE), on_request, c);
   if (!c->server) {
     snprintf(err, cap, "settings: listen: %s cannot be listened on", s->listen);
     return NULL;
--- a/src/controller.h
+++ b/src/controller.h
@@ -41,10 +41,10 @@
 struct tmx_ctl *tmx_ctl_new(struct ev_loop *loop, const struct tmx_settings *s, char *err,
                             size_t cap);
 void tmx_ctl_free(struct tmx_ctl *c);
-void tmx_ctl_kick(struct tmx_ctl *c);                 /* something is worth a round now */
-void tmx_ctl_kick_in(struct tmx_ctl *c, double s);    /* ... within this time */
-bool tmx_ctl_fresh(const struct tmx_ctl *c);          /* may act for the controllers */
-bool tmx_ctl_cut_off(const struct tmx_ctl *c);        /* from a state service that others reach */
+void tmx_ctl_kick(struct tmx_ctl *c);              /* something is worth a round now */
+void tmx_ctl_kick_in(struct tmx_ctl *c, double s); /* ... within this time */
+bool tmx_ctl_fresh(const struct tmx_ctl *c);       /* may act for the controllers */
+bool tmx_ctl_cut_off(const struct tmx_ctl *c);     /* from a state service that others reach */
 uint64_t tmx_ctl_token(const struct tmx_ctl *c, uint32_t bump);
 /* Takes machines over from owners that they cannot reach. */
 void tmx_ctl_take(struct tmx_ctl *c, const char *const *machines, size_t n);
@@ -79,7 +79,7 @@
 struct tmx_health tmx_workers_health(struct tmx_workers *w, const char *machine);
 int tmx_workers_probe(struct tmx_workers *w, const struct tmx_machine *m); /* probes lost */
 /* For heartbeats. */
-typedef void (*tmx_each_heard)(void *arg, const char *id, double age, uint64_t session, bool notice);
+typedef void (*tmx_each_heard)(void *arg, const char *id, double age, bool notice);
 void tmx_workers_each(struct tmx_workers *w, tmx_each_heard f, void *arg);
 
 /* src/user */
@@ -105,7 +105,7 @@
 void tmx_peers_tick(struct tmx_peers *p);
 double tmx_peers_silence(const struct tmx_peers *p, const char *node); /* s; 1e9: never heard */
 bool tmx_peers_refused(const struct tmx_peers *p, const char *node);   /* seems down */
-bool tmx_peers_any(const struct tmx_peers *p);         /* is any heard */
+bool tmx_peers_any(const struct tmx_peers *p);                         /* is any heard */
 double tmx_peers_state_age(const struct tmx_peers *p); /* s: the freshest state among those heard */
 /* the least age at which a peer heard the machine, by its heartbeat; 1e9: none did */
 double tmx_peers_heard(const struct tmx_peers *p, const char *machine, const char *only_node,
--- a/src/core/capacity.c
+++ b/src/core/capacity.c
@@ -33,12 +33,13 @@
   struct bin *bins = calloc(cap, sizeof *bins);
   if (!bins) abort();
   for (size_t i = 0; i < n_c; i++)
-    bins[n_bins++] = (struct bin){c[i].type->cpus, c[i].type->gpus, c[i].type->mem, c[i].type,
-                                  c[i].zone, c[i].spot};
+    bins[n_bins++] = (struct bin){c[i].type->cpus, c[i].type->gpus, c[i].type->mem,
+                                  c[i].type,       c[i].zone,       c[i].spot};
   /* Work that the machines at hand clear within about the boot time needs no new ones. */
   double backlog = 0;
   for (size_t i = 0; i < n_d; i++)
-    if (!d[i].spec->service) backlog += d[i].tasks * d[i].spec->cpus * fmax(d[i].spec->estimate_s, 5);
+    if (!d[i].spec->service)
+      backlog += d[i].tasks * d[i].spec->cpus * fmax(d[i].spec->estimate_s, 5);
   for (size_t i = 0; i < n_d; i++) {
     const struct tmx_spec *s = d[i].spec;
     uint32_t left = d[i].tasks;
@@ -76,8 +77,9 @@
       const struct tmx_type *t = o[best].type;
       uint32_t k = fits(s, t->cpus, t->gpus, t->mem);
       if (k > left) k = left;
-      bins[n_bins++] = (struct bin){t->cpus - k * s->cpus, t->gpus - k * s->gpus,
-                                    t->mem - k * s->mem, t, o[best].zone, o[best].spot};
+      bins[n_bins++] =
+          (struct bin){t->cpus - k * s->cpus, t->gpus - k * s->gpus, t->mem - k * s->mem, t,
+                       o[best].zone,          o[best].spot};
       left -= k;
       size_t h;
       for (h = 0; h < n_out; h++)
--- a/src/core/capacity.h
+++ b/src/core/capacity.h
@@ -25,6 +25,6 @@
 };
 /* Returns the number of hires written to out. have_cpus: room of the machines that are up. */
 size_t tmx_capacity(const struct tmx_demand *d, size_t n_d, const struct tmx_offer *o, size_t n_o,
-                    const struct tmx_coming *c, size_t n_c, double have_cpus,
-                    struct tmx_hire *out, size_t max);
+                    const struct tmx_coming *c, size_t n_c, double have_cpus, struct tmx_hire *out,
+                    size_t max);
 #endif
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -109,8 +109,8 @@
 }
 
 /* part: only machines of this member; -1: any. Returns a machine index or -1. */
-static int pick(const struct round *r, const struct tmx_plan_job *j, int part, bool soon,
-                bool warm, uint32_t n_eligible) {
+static int pick(const struct round *r, const struct tmx_plan_job *j, int part, bool soon, bool warm,
+                uint32_t n_eligible) {
   const struct tmx_plan_input *in = r->in;
   uint32_t cap = tmx_machine_cap(j->spec, n_eligible);
   int best = -1;
@@ -222,7 +222,9 @@
         e += o->mem;
         cost += t->lost + 1 + 20.0 * o->priority;
         if (take_it) {
-          struct tmx_op op = {.op = TMX_OP_STOP, .task = t->task, .attempt = t->attempt,
+          struct tmx_op op = {.op = TMX_OP_STOP,
+                              .task = t->task,
+                              .attempt = t->attempt,
                               .how = o->checkpoint_s > 0 && !s->service ? '2' : '1'};
           snprintf(op.job, sizeof op.job, "%s", in->jobs[t->job].id);
           emit(r, &op);
@@ -339,8 +341,8 @@
       }
       if (m >= 0) {
         if (mine) {
-          struct tmx_op op = {.op = TMX_OP_PLACE, .task = j->waits[w].task,
-                              .attempt = j->waits[w].attempt};
+          struct tmx_op op = {
+              .op = TMX_OP_PLACE, .task = j->waits[w].task, .attempt = j->waits[w].attempt};
           snprintf(op.job, sizeof op.job, "%s", j->id);
           snprintf(op.machine, sizeof op.machine, "%s", in->machines[m].id);
           emit(&r, &op);
--- a/src/core/plan.h
+++ b/src/core/plan.h
@@ -6,9 +6,9 @@
 struct tmx_plan_machine {
   char id[TMX_ID_MAX], type[TMX_ID_MAX];
   int zone;
-  bool spot, usable; /* usable: heard lately, not draining, not faulty, no notice */
-  bool drain;        /* to be returned: its services move */
-  int owner;         /* member index */
+  bool spot, usable;         /* usable: heard lately, not draining, not faulty, no notice */
+  bool drain;                /* to be returned: its services move */
+  int owner;                 /* member index */
   double cpus, gpus, mem;    /* its size */
   double ucpus, ugpus, umem; /* booked */
   double scpus, sgpus, smem; /* of that, being stopped: free soon */
--- a/src/main.c
+++ b/src/main.c
@@ -12,8 +12,10 @@
   char *conf = NULL, *op = NULL;
   int check = 0, version = 0, rc;
   struct poptOption opts[] = {
-      {"config", 'c', POPT_ARG_STRING, &conf, 0, "settings handed over by the platform (JSON)", "FILE"},
-      {"operator-config", 'o', POPT_ARG_STRING, &op, 0, "the operators' own settings (TOML)", "FILE"},
+      {"config", 'c', POPT_ARG_STRING, &conf, 0, "settings handed over by the platform (JSON)",
+       "FILE"},
+      {"operator-config", 'o', POPT_ARG_STRING, &op, 0, "the operators' own settings (TOML)",
+       "FILE"},
       {"check", 0, POPT_ARG_NONE, &check, 0, "check the settings and exit", NULL},
       {"version", 'V', POPT_ARG_NONE, &version, 0, "print the version and exit", NULL},
       POPT_AUTOHELP POPT_TABLEEND};
--- a/src/net/cbor.c
+++ b/src/net/cbor.c
@@ -97,21 +97,53 @@
   }
   s->todo[s->depth++] = n;
 }
-static void on_u8(void *c, uint8_t v) { (void)v; item_done(c); }
-static void on_u16(void *c, uint16_t v) { (void)v; item_done(c); }
-static void on_u32(void *c, uint32_t v) { (void)v; item_done(c); }
-static void on_u64(void *c, uint64_t v) { (void)v; item_done(c); }
-static void on_f(void *c, float v) { (void)v; item_done(c); }
-static void on_d(void *c, double v) { (void)v; item_done(c); }
+static void on_u8(void *c, uint8_t v) {
+  (void)v;
+  item_done(c);
+}
+static void on_u16(void *c, uint16_t v) {
+  (void)v;
+  item_done(c);
+}
+static void on_u32(void *c, uint32_t v) {
+  (void)v;
+  item_done(c);
+}
+static void on_u64(void *c, uint64_t v) {
+  (void)v;
+  item_done(c);
+}
+static void on_f(void *c, float v) {
+  (void)v;
+  item_done(c);
+}
+static void on_d(void *c, double v) {
+  (void)v;
+  item_done(c);
+}
 static void on_nil(void *c) { item_done(c); }
-static void on_b(void *c, bool v) { (void)v; item_done(c); }
-static void on_s(void *c, cbor_data d, size_t n) { (void)d; (void)n; item_done(c); }
+static void on_b(void *c, bool v) {
+  (void)v;
+  item_done(c);
+}
+static void on_s(void *c, cbor_data d, size_t n) {
+  (void)d;
+  (void)n;
+  item_done(c);
+}
 static void on_arr(void *c, size_t n) { open_level(c, n); }
 static void on_map(void *c, size_t n) { open_level(c, n > SIZE_MAX / 4 ? SIZE_MAX / 2 : n * 2); }
 static void on_open(void *c) { open_level(c, UINT64_MAX); }
 static void on_never(void *c) { ((struct scan *)c)->bad = true; }
-static void on_never_b(void *c, cbor_data d, size_t n) { (void)d; (void)n; on_never(c); }
-static void on_never_t(void *c, uint64_t t) { (void)t; on_never(c); }
+static void on_never_b(void *c, cbor_data d, size_t n) {
+  (void)d;
+  (void)n;
+  on_never(c);
+}
+static void on_never_t(void *c, uint64_t t) {
+  (void)t;
+  on_never(c);
+}
 static void on_break(void *c) {
   struct scan *s = c;
   if (s->depth == 0 || s->todo[s->depth - 1] != UINT64_MAX) {
@@ -123,15 +155,30 @@
 }
 
 static bool scan_ok(const uint8_t *p, size_t n) {
-  static const struct cbor_callbacks cb = {
-      .uint8 = on_u8, .uint16 = on_u16, .uint32 = on_u32, .uint64 = on_u64,
-      .negint8 = on_u8, .negint16 = on_u16, .negint32 = on_u32, .negint64 = on_u64,
-      .byte_string = on_never_b, .byte_string_start = on_never,
-      .string = on_s, .string_start = on_never,
-      .array_start = on_arr, .indef_array_start = on_open,
-      .map_start = on_map, .indef_map_start = on_open,
-      .tag = on_never_t, .float2 = on_f, .float4 = on_f, .float8 = on_d,
-      .null = on_nil, .undefined = on_nil, .boolean = on_b, .indef_break = on_break};
+  static const struct cbor_callbacks cb = {.uint8 = on_u8,
+                                           .uint16 = on_u16,
+                                           .uint32 = on_u32,
+                                           .uint64 = on_u64,
+                                           .negint8 = on_u8,
+                                           .negint16 = on_u16,
+                                           .negint32 = on_u32,
+                                           .negint64 = on_u64,
+                                           .byte_string = on_never_b,
+                                           .byte_string_start = on_never,
+                                           .string = on_s,
+                                           .string_start = on_never,
+                                           .array_start = on_arr,
+                                           .indef_array_start = on_open,
+                                           .map_start = on_map,
+                                           .indef_map_start = on_open,
+                                           .tag = on_never_t,
+                                           .float2 = on_f,
+                                           .float4 = on_f,
+                                           .float8 = on_d,
+                                           .null = on_nil,
+                                           .undefined = on_nil,
+                                           .boolean = on_b,
+                                           .indef_break = on_break};
   struct scan s = {.depth = 0};
   size_t at = 0;
   do {
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -20,7 +20,7 @@
   return p;
 }
 
-static bool parse_addr(const char *s, struct sockaddr_in *a) {
+bool tmx_parse_addr(const char *s, struct sockaddr_in *a) {
   char host[64];
   const char *c = strrchr(s, ':');
   memset(a, 0, sizeof *a);
@@ -158,10 +158,11 @@
 static void conn_answer(struct tmx_conn *c, int status, const struct tmx_buf *body, int retry) {
   char head[256], extra[48] = "";
   if (retry > 0) snprintf(extra, sizeof extra, "Retry-After: %d\r\n", retry);
-  int n = snprintf(head, sizeof head,
-                   "HTTP/1.1 %d %s\r\nContent-Type: application/cbor\r\nContent-Length: %zu\r\n%s%s\r\n",
-                   status, http_status_str((enum http_status)status), body ? body->n : 0, extra,
-                   c->close_after ? "Connection: close\r\n" : "");
+  int n = snprintf(
+      head, sizeof head,
+      "HTTP/1.1 %d %s\r\nContent-Type: application/cbor\r\nContent-Length: %zu\r\n%s%s\r\n", status,
+      http_status_str((enum http_status)status), body ? body->n : 0, extra,
+      c->close_after ? "Connection: close\r\n" : "");
   tmx_buf_add(&c->out, head, (size_t)n);
   if (body && body->n) tmx_buf_add(&c->out, body->p, body->n);
 }
@@ -252,7 +253,7 @@
 struct tmx_server *tmx_server_new(struct ev_loop *loop, const char *addr, int max, tmx_handler h,
                                   void *arg) {
   struct sockaddr_in a;
-  if (!parse_addr(addr, &a)) return NULL;
+  if (!tmx_parse_addr(addr, &a)) return NULL;
   int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0), one = 1;
   if (fd < 0) return NULL;
   setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
@@ -413,7 +414,7 @@
   c->loop = loop;
   c->max = max;
   snprintf(c->host, sizeof c->host, "%s", addr);
-  if (!parse_addr(addr, &c->addr)) {
+  if (!tmx_parse_addr(addr, &c->addr)) {
     free(c);
     return NULL;
   }
@@ -458,9 +459,10 @@
   http_parser_init(&k->ps, HTTP_RESPONSE);
   k->ps.data = k;
   char head[TMX_PATH_MAX + 256];
-  int n = snprintf(head, sizeof head,
-                   "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/cbor\r\nContent-Length: %zu\r\n\r\n",
-                   method, path, c->host, body ? body->n : 0);
+  int n = snprintf(
+      head, sizeof head,
+      "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/cbor\r\nContent-Length: %zu\r\n\r\n",
+      method, path, c->host, body ? body->n : 0);
   if (n < 0 || (size_t)n >= sizeof head) {
     call_drop(k);
     return false;
@@ -469,6 +471,7 @@
   if (body && body->n) tmx_buf_add(&k->out, body->p, body->n);
   k->to.repeat = timeout;
   ev_timer_again(c->loop, &k->to);
-  ev_io_start(c->loop, &k->wr); /* sent from the loop, so that a failure never calls back from here */
+  ev_io_start(c->loop,
+              &k->wr); /* sent from the loop, so that a failure never calls back from here */
   return true;
 }
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -7,6 +7,9 @@
 #include "net/cbor.h"
 #include "tmx/constants.h"
 
+struct sockaddr_in;
+bool tmx_parse_addr(const char *s, struct sockaddr_in *a); /* 10.0.0.1:8080 */
+
 struct tmx_server;
 struct tmx_conn;
 struct tmx_req {
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -58,18 +58,6 @@
   double sent_at;
 };
 
-static bool to_addr(const char *s, struct sockaddr_in *a) {
-  char host[64];
-  const char *c = strrchr(s, ':');
-  if (!c || (size_t)(c - s) >= sizeof host) return false;
-  memset(a, 0, sizeof *a);
-  memcpy(host, s, (size_t)(c - s));
-  host[c - s] = 0;
-  a->sin_family = AF_INET;
-  a->sin_port = htons((uint16_t)atoi(c + 1));
-  return inet_pton(AF_INET, host, &a->sin_addr) == 1;
-}
-
 /* ------------------------------------------------------------ receiving */
 
 static void in_close(struct incoming *i) {
@@ -89,6 +77,7 @@
   q->beat_at = tmx_now();
   q->refusals = 0;
   q->state_age = b->state_age_ms / 1000.0;
+  if (b->revision > p->c->rep.rev) tmx_link_behind(p->c->link);
   free(q->heard);
   q->n_heard = b->heard.heard_len;
   q->heard = calloc(q->n_heard + 1, sizeof *q->heard);
@@ -222,7 +211,7 @@
   tmx_heard *v;
   size_t n, cap;
 };
-static void gather_one(void *arg, const char *id, double age, uint64_t session, bool notice) {
+static void gather_one(void *arg, const char *id, double age, bool notice) {
   struct gather *g = arg;
   if (g->n == TMX_BEAT_MACHINES || age > 120) return;
   if (g->n == g->cap) {
@@ -234,8 +223,6 @@
   memset(h, 0, sizeof *h);
   h->id = (char *)id;
   h->age_ms = (u_int)(age * 1000);
-  h->session = (u_int)session;
-  h->running = TRUE;
   h->notice = notice;
 }
 
@@ -245,10 +232,8 @@
   tmx_workers_each(c->workers, gather_one, &g);
   double age = tmx_now() - tmx_link_confirmed(c->link);
   tmx_beat b = {.node = c->set.node,
-                .run = tmx_link_inc(c->link),
                 .revision = c->rep.rev,
                 .state_age_ms = age > 1e6 ? UINT32_MAX : (u_int)(age * 1000),
-                .leading = tmx_link_leading(c->link),
                 .heard = {.heard_len = (u_int)g.n, .heard_val = g.v}};
   u_int size = (u_int)xdr_sizeof((xdrproc_t)xdr_tmx_beat, &b);
   char *buf = malloc(size + 4);
@@ -339,7 +324,7 @@
 struct tmx_peers *tmx_peers_new(struct tmx_ctl *c) {
   struct sockaddr_in a;
   int one = 1;
-  if (!to_addr(c->set.peer_listen, &a)) return NULL;
+  if (!tmx_parse_addr(c->set.peer_listen, &a)) return NULL;
   int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0) return NULL;
   setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
@@ -356,7 +341,7 @@
     q->p = p;
     q->fd = -1;
     snprintf(q->name, sizeof q->name, "%s", c->set.peers[i].name);
-    to_addr(c->set.peers[i].addr, &q->addr);
+    tmx_parse_addr(c->set.peers[i].addr, &q->addr);
   }
   ev_io_init(&p->acc, on_acc, fd, EV_READ);
   p->acc.data = p;
--- a/src/state/link.c
+++ b/src/state/link.c
@@ -198,8 +198,8 @@
   if (k->watching) return;
   snprintf(path, sizeof path, WP_WATCH "?prefix=" TMX_KEYS "&from=%llu&wait_ms=%d",
            (unsigned long long)k->rep->rev, TMX_WATCH_WAIT_MS);
-  k->watching = tmx_client_call(k->watch, "GET", path, NULL, TMX_WATCH_WAIT_MS / 1000.0 + 3,
-                                on_watch, k);
+  k->watching =
+      tmx_client_call(k->watch, "GET", path, NULL, TMX_WATCH_WAIT_MS / 1000.0 + 3, on_watch, k);
   if (!k->watching) again(k, TMX_STATE_RETRY_S);
 }
 
@@ -494,6 +494,12 @@
   snprintf(k->suspect, sizeof k->suspect, "%s", node);
 }
 
+void tmx_link_behind(struct tmx_link *k) {
+  if (tmx_now() - k->last_read < TMX_BEAT_S) return;
+  k->last_read = -TMX_CONFIRM_IDLE_S;
+  start_read(k);
+}
+
 void tmx_link_tick(struct tmx_link *k) {
   double now = tmx_now();
   lease_step(k, now);
--- a/src/state/link.h
+++ b/src/state/link.h
@@ -13,8 +13,8 @@
 /* When state was last known to be complete here: the time at which a revision read began that
  * the replica has caught up with. 0: never. */
 double tmx_link_confirmed(const struct tmx_link *k);
-uint64_t tmx_link_inc(const struct tmx_link *k);   /* version of our node key; 0: none */
-bool tmx_link_member(const struct tmx_link *k);    /* in the view with this very run */
+uint64_t tmx_link_inc(const struct tmx_link *k); /* version of our node key; 0: none */
+bool tmx_link_member(const struct tmx_link *k);  /* in the view with this very run */
 bool tmx_link_leading(const struct tmx_link *k);
 
 /* cb(arg, true) once the replica holds all that was committed before this call;
@@ -40,5 +40,7 @@
 double tmx_link_budget(struct tmx_link *k); /* puts that may be sent now */
 /* Advice that a peer's process is down: leadership is taken from it at once. */
 void tmx_link_suspect(struct tmx_link *k, const char *node);
+/* Advice that a peer's copy is ahead: a revision read is due, which finds a dead watch out. */
+void tmx_link_behind(struct tmx_link *k);
 void tmx_link_tick(struct tmx_link *k); /* called a few times a second */
 #endif
--- a/src/state/replica.c
+++ b/src/state/replica.c
@@ -224,7 +224,8 @@
                  : t->state == TMX_WAITING ? 'w'
                  : t->stop                 ? (char)('0' + t->stop)
                                            : 'p';
-    int len = snprintf(s, sizeof s, "%c %u %s", state, t->attempt, t->machine ? t->machine->id : "-");
+    int len =
+        snprintf(s, sizeof s, "%c %u %s", state, t->attempt, t->machine ? t->machine->id : "-");
     if (bytes + (size_t)len + 4 > max_bytes) break;
     bytes += (size_t)len + 4;
     tmx_w_str(&list, s);
--- a/src/state/replica.h
+++ b/src/state/replica.h
@@ -45,7 +45,7 @@
 struct tmx_machine;
 struct tmx_task {
   struct tmx_job *job;
-  struct tmx_machine *machine; /* while placed */
+  struct tmx_machine *machine;  /* while placed */
   struct tmx_task *prev, *next; /* on the machine */
   uint32_t attempt;
   uint8_t state, stop; /* stop: 0 no, 1 at once, 2 after saving */
@@ -63,17 +63,17 @@
   struct tmx_task *tasks;
   uint32_t n_done, n_placed, first_wait;
   uint64_t touched; /* version of the latest batch that spoke of it */
-  uint32_t fails; /* errors in a row */
+  uint32_t fails;   /* errors in a row */
   double retry_at;
-  uint32_t n_ending; /* of the batch being made: tasks that end as done */
-  int plan_index;    /* of the round being made */
+  uint32_t n_ending;               /* of the batch being made: tasks that end as done */
+  int plan_index;                  /* of the round being made */
   char bad_machine[4][TMX_ID_MAX]; /* where it failed lately */
   unsigned bad_at;
   UT_hash_handle hh;
 };
 struct tmx_machine {
   char id[TMX_ID_MAX], addr[TMX_NAME_MAX], type[TMX_ID_MAX];
-  int zone; /* index, -1: unknown */
+  int zone;                /* index, -1: unknown */
   bool spot, known, drain; /* known: its key exists */
   uint64_t stamp;
   struct tmx_task *tasks; /* placed here */
@@ -147,7 +147,7 @@
 
 struct tmx_job *tmx_job_find(const struct tmx_replica *r, const char *id);
 struct tmx_machine *tmx_machine_find(const struct tmx_replica *r, const char *id);
-const char *tmx_owner_of(const struct tmx_replica *r, const char *machine);  /* NULL: no view */
+const char *tmx_owner_of(const struct tmx_replica *r, const char *machine); /* NULL: no view */
 const char *tmx_planner_of(const struct tmx_replica *r, const char *job);
 const struct tmx_member *tmx_member_find(const struct tmx_replica *r, const char *name);
 static inline uint32_t tmx_task_index(const struct tmx_task *t);
@@ -158,7 +158,8 @@
 bool tmx_task_parse(const char *s, char *job, size_t cap, uint32_t *index);
 /* A page of a job's tasks as they stand, from `from` on, of at most max_bytes; returns how many
  * tasks it holds. */
-uint32_t tmx_page_encode(struct tmx_buf *b, const struct tmx_job *j, uint32_t from, size_t max_bytes);
+uint32_t tmx_page_encode(struct tmx_buf *b, const struct tmx_job *j, uint32_t from,
+                         size_t max_bytes);
 void tmx_view_encode(struct tmx_buf *b, const struct tmx_view *v);
 #define TMX_OP_PLACE 'p'
 #define TMX_OP_STOP 's'
--- a/src/user/user.c
+++ b/src/user/user.c
@@ -65,7 +65,8 @@
   size_t n = strlen(W_JOB_PREFIX), len = strlen(s);
   if (len <= n || len >= TMX_ID_MAX || strncmp(s, W_JOB_PREFIX, n)) return false;
   for (s += n; *s; s++)
-    if (!strchr("0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ_.-", *s)) return false;
+    if (!strchr("0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ_.-", *s))
+      return false;
   return true;
 }
 
--- a/src/worker/worker.c
+++ b/src/worker/worker.c
@@ -35,8 +35,8 @@
   bool owned;
   uint64_t term; /* of the view that `owned` was last compared with */
   uint32_t bump;
-  uint64_t fence;      /* absence proves nothing while seen < fence */
-  bool starts_out;     /* a response with starts was sent; the next report tells */
+  uint64_t fence;  /* absence proves nothing while seen < fence */
+  bool starts_out; /* a response with starts was sent; the next report tells */
   bool in_flight, unanswered;
   bool dirty;
   /* the leader's own question to a silent machine */
@@ -309,8 +309,8 @@
   struct tmx_workers *w = r->w;
   r->in_flight = false;
   if (status != 200 && status != 409 && status != 400 && status != -1) {
-    /* No answer, or none that tells. It may still run, minutes later: a higher token goes out first, and until the worker has
-     * seen it no absence is believed. */
+    /* No answer, or none that tells. It may still run, minutes later: a higher token goes out
+     * first, and until the worker has seen it no absence is believed. */
     r->unanswered = true;
     if (r->bump < TMX_BUMP_MAX) r->bump++;
     r->fence = tmx_ctl_token(w->c, r->bump);
@@ -319,7 +319,8 @@
   if (status != 200 && status != 409) return;
   cbor_item_t *m = tmx_cbor_parse(body, len);
   struct worker *same = NULL;
-  if (m && take_report(w, m, false, &same) && same == r && (status == 200 || r->dirty)) send_direct(w, r);
+  if (m && take_report(w, m, false, &same) && same == r && (status == 200 || r->dirty))
+    send_direct(w, r);
   tmx_cbor_free(m);
 }
 
@@ -351,8 +352,8 @@
       r->client = tmx_client_new(w->c->loop, r->facts.addr, 1);
     }
     if (r->client)
-      r->in_flight = tmx_client_call(r->client, "POST", WP_COMMANDS, &b, TMX_COMMAND_TIMEOUT_S,
-                                     on_command, r);
+      r->in_flight =
+          tmx_client_call(r->client, "POST", WP_COMMANDS, &b, TMX_COMMAND_TIMEOUT_S, on_command, r);
   }
   tmx_buf_free(&o);
   tmx_buf_free(&b);
@@ -570,6 +571,6 @@
   struct worker *r, *t;
   double now = tmx_now();
   HASH_ITER(hh, w->all, r, t) {
-    if (r->heard_at) f(arg, r->id, now - r->heard_at, r->session, r->notice);
+    if (r->heard_at) f(arg, r->id, now - r->heard_at, r->notice);
   }
 }
--- a/tests/fake.h
+++ b/tests/fake.h
@@ -96,7 +96,8 @@
 unsigned fake_placed(void); /* place lines in the log that have no end */
 
 void worker_open(struct fake_worker *w, const char *id);
-void worker_report(struct fake_worker *w, struct tmx_ctl *c); /* sends one and waits for its answer */
+void worker_report(struct fake_worker *w,
+                   struct tmx_ctl *c); /* sends one and waits for its answer */
 bool worker_has(const struct fake_worker *w, const char *op, const char *task, uint32_t attempt);
 void worker_do(struct fake_worker *w); /* executes the orders of the latest answer */
 void worker_set(struct fake_worker *w, const char *task, uint32_t attempt, const char *st,
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -191,8 +191,9 @@
       in->machines[i].owner = (int)gsl_rng_uniform_int(g, 3);
     }
     for (size_t k = 0; k < n_j; k++) {
-      struct tmx_spec *s = job(in, k, gsl_rng_uniform_int(g, 2), 1 + (uint32_t)gsl_rng_uniform_int(g, 9),
-                               1 + (double)gsl_rng_uniform_int(g, 4));
+      struct tmx_spec *s =
+          job(in, k, gsl_rng_uniform_int(g, 2), 1 + (uint32_t)gsl_rng_uniform_int(g, 9),
+              1 + (double)gsl_rng_uniform_int(g, 4));
       s->spread = gsl_rng_uniform_int(g, 2);
       s->one_zone = gsl_rng_uniform_int(g, 4) == 0;
       s->spot = !s->service && gsl_rng_uniform_int(g, 2);
--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -119,8 +119,8 @@
   assert_true(tmx_settings_parse(&s, good, err, sizeof err));
   assert_string_equal(s.node, "hand-0");
   assert_int_equal(s.txn_ops, 32);
-  static const char *fields[] = {"host_name", "peer_listen", "zones", "lease_s", "txn_ops",
-                                 "sockets", "state"};
+  static const char *fields[] = {"host_name", "peer_listen", "zones", "lease_s",
+                                 "txn_ops",   "sockets",     "state"};
   for (size_t i = 0; i < sizeof fields / sizeof *fields; i++) {
     char quoted[32];
     snprintf(quoted, sizeof quoted, "\"%s\"", fields[i]);
@@ -163,8 +163,8 @@
 
 int main(void) {
   const struct CMUnitTest t[] = {
-      cmocka_unit_test(round_trip),     cmocka_unit_test(hostile_bodies),
-      cmocka_unit_test(fuzzed_bodies),  cmocka_unit_test(settings),
+      cmocka_unit_test(round_trip),        cmocka_unit_test(hostile_bodies),
+      cmocka_unit_test(fuzzed_bodies),     cmocka_unit_test(settings),
       cmocka_unit_test(operator_settings),
   };
   return cmocka_run_group_tests(t, NULL, NULL);
--- a/tests/test_rules.c
+++ b/tests/test_rules.c
@@ -411,7 +411,8 @@
 
 /* Bytes that are no HTTP, and bodies past the limit, close their connection and nothing else. */
 static int raw(const char *head, size_t fill) {
-  struct sockaddr_in to_a = {.sin_family = AF_INET, .sin_port = htons((uint16_t)tmx_server_port(a->server))};
+  struct sockaddr_in to_a = {.sin_family = AF_INET,
+                             .sin_port = htons((uint16_t)tmx_server_port(a->server))};
   char buf[512] = "";
   to_a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   int fd = socket(AF_INET, SOCK_STREAM, 0), status = 0;
@@ -435,7 +436,8 @@
   (void)st;
   assert_int_equal(raw("this is not HTTP at all\r\n\r\n", 0), 400);
   assert_int_equal(raw("POST /v2/runs HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n", 2048), 413);
-  assert_int_equal(raw("POST /v2/runs HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n", 131072), 413);
+  assert_int_equal(
+      raw("POST /v2/runs HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n", 131072), 413);
   assert_int_equal(submit(a, "wk-000001", "batch", 1, 2, "t"), 201);
 }
 
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -174,7 +174,7 @@
     of[before[i][5] - '0']++;
   }
   for (int i = 0; i < 3; i++) assert_true(of[i] > 8); /* about a third each */
-  put_view(2, 2, NULL); /* hand-2 left: only its machines move */
+  put_view(2, 2, NULL);                               /* hand-2 left: only its machines move */
   for (int i = 0; i < 64; i++) {
     snprintf(id, sizeof id, "n-%06d", i);
     bool same = !strcmp(before[i], tmx_owner_of(&rep, id));
