--- a/tests/fake.c
+++ b/tests/fake.c
@@ -1,6 +1,9 @@
 #include "fake.h"
 
+#include <arpa/inet.h>
 #include <http_parser.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -11,7 +14,7 @@
 struct ev_loop *loop;
 struct fake_state state;
 struct fake_cloud cloud;
-static int ports[4][2];
+static int ports[4][2]; /* port, and the socket that reserves it */
 
 /* ------------------------------------------------------------ running the loop */
 
@@ -521,11 +524,18 @@
   return k;
 }
 
-static int free_port(void) { /* peers must know one another's port beforehand */
-  struct tmx_server *s = tmx_server_new(loop, "127.0.0.1:0", 1, on_cloud, NULL);
-  int p = tmx_server_port(s);
-  tmx_server_free(s);
-  return p;
+/* Peers must know one another's port beforehand. The socket stays bound, without listening, so
+ * that no outgoing connection gets the port; a listener may still share it. */
+static int reserve_port(int *fd) {
+  struct sockaddr_in at = {.sin_family = AF_INET};
+  socklen_t n = sizeof at;
+  int one = 1;
+  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  *fd = socket(AF_INET, SOCK_STREAM, 0);
+  setsockopt(*fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  assert_int_equal(bind(*fd, (struct sockaddr *)&at, sizeof at), 0);
+  assert_int_equal(getsockname(*fd, (struct sockaddr *)&at, &n), 0);
+  return ntohs(at.sin_port);
 }
 
 struct tmx_ctl *controller(int k, int of) {
@@ -573,7 +583,7 @@
   for (int i = 0; i < 4; i++) {
     state.doors[i].s = &state;
     state.doors[i].srv = tmx_server_new(loop, "127.0.0.1:0", 200, on_state, &state.doors[i]);
-    ports[i][0] = free_port();
+    ports[i][0] = reserve_port(&ports[i][1]);
   }
   cloud.srv = tmx_server_new(loop, "127.0.0.1:0", 100, on_cloud, &cloud);
 }
@@ -581,7 +591,10 @@
 void fake_close(void) {
   for (size_t i = 0; i < state.n_w; i++) tmx_req_reply(state.w[i].req, 503, NULL, 0);
   state.n_w = 0;
-  for (int i = 0; i < 4; i++) tmx_server_free(state.doors[i].srv);
+  for (int i = 0; i < 4; i++) {
+    tmx_server_free(state.doors[i].srv);
+    close(ports[i][1]);
+  }
   tmx_server_free(cloud.srv);
   for (size_t i = 0; i < state.n_e; i++) free(state.e[i].value);
   for (size_t i = 0; i < state.n_ev; i++) free(state.ev[i].value);
