--- a/tests/fake.c
+++ b/tests/fake.c
@@ -138,6 +138,12 @@
   serve_watches();
 }
 
+void fake_put(const char *key, const struct tmx_buf *value) {
+  state.rev++;
+  put(key, value->p, value->n, 0);
+  serve_watches();
+}
+
 static void reply_rev(struct tmx_req *q, int status) {
   struct tmx_buf b = {0};
   tmx_w_map(&b, 1);
--- a/tests/fake.h
+++ b/tests/fake.h
@@ -92,6 +92,7 @@
 bool pump(bool (*done)(void *), void *arg); /* runs the loop until done; false after 10 s */
 void pump_for(double s);
 void fake_free_watches(void);
+void fake_put(const char *key, const struct tmx_buf *value); /* as another client would */
 const struct fake_entry *fake_get(const char *key);
 unsigned fake_placed(void); /* place lines in the log that have no end */
 
--- a/tests/test_rules.c
+++ b/tests/test_rules.c
@@ -181,6 +181,66 @@
   assert_int_equal(w.loads[0].attempt, 1);
 }
 
+/* A start of the earlier owner may still be under way: its heir believes no absence before the
+ * worker has seen the heir's token. */
+static void heir_and_late_commands(void **st) {
+  (void)st;
+  up(a);
+  w.mute = true;
+  submit(a, "wk-000001", "batch", 1, 2, "t");
+  assert_true(pump(placed, NULL));
+  for (int i = 0; i < 100 && !w.commands; i++) pump_for(0.02);
+  assert_true(w.commands > 0);
+  tmx_ctl_free(a);
+  a = controller(0, 1);
+  assert_true(pump(typed, a));
+  assert_string_equal(cancel_job(a, "wk-000001").state, WV_CANCELLED);
+  uint64_t before = w.token;
+  worker_report(&w, a);
+  assert_true(w.token > before); /* the late command would be refused from here on */
+  pump_for(0.5);
+  assert_int_equal(fake_placed(), 1);
+  worker_report(&w, a);
+  assert_true(pump(none_placed, NULL));
+}
+
+/* Two that both take themselves for the leader: every batch was planned on all before it. */
+static void two_leaders(void **st) {
+  (void)st;
+  struct tmx_buf v = {0};
+  char id[32];
+  worker_report(&w, a);
+  if (w.status != 200) worker_report(&w, b);
+  assert_int_equal(w.status, 200);
+  assert_true(pump(registered, a));
+  assert_true(pump(registered, b));
+  struct tmx_ctl *old = tmx_link_leading(a->link) ? a : b, *other = old == a ? b : a;
+  assert_true(tmx_link_leading(old->link));
+  state.doors[old == a ? 0 : 1].freeze_watch = true;
+  tmx_w_map(&v, 2);
+  tmx_w_kstr(&v, "name", other->set.node);
+  tmx_w_ku64(&v, "inc", tmx_link_inc(other->link));
+  fake_put(TMX_K_LEADER, &v);
+  tmx_buf_free(&v);
+  for (int i = 0; i < 300 && !tmx_link_leading(other->link); i++) pump_for(0.02);
+  assert_true(tmx_link_leading(other->link) && tmx_link_leading(old->link));
+  for (int i = 0; i < 6; i++) {
+    snprintf(id, sizeof id, "wk-%06d", i);
+    submit(i % 2 ? a : b, id, "batch", 1, 2, "t");
+  }
+  for (int i = 0; i < 300 && fake_placed() < 4; i++) {
+    pump_for(0.02);
+    assert_in_range(fake_placed(), 0, 4);
+    if (i == 20) {
+      state.doors[0].freeze_watch = state.doors[1].freeze_watch = false;
+      fake_free_watches();
+    }
+  }
+  pump_for(0.5);
+  assert_int_equal(fake_placed(), 4);
+  for (size_t i = 0; i < w.n_loads; i++) assert_int_equal(w.loads[i].attempt, 1);
+}
+
 /* A worker whose lease lapsed has forgotten its tasks; the attempt is started there again. */
 static void lapsed_lease(void **st) {
   (void)st;
@@ -448,6 +508,8 @@
       cmocka_unit_test_setup_teardown(unanswered_command, setup, teardown),
       cmocka_unit_test_setup_teardown(probe_overtakes_an_answer, setup, teardown),
       cmocka_unit_test_setup_teardown(restart_between_log_and_start, setup, teardown),
+      cmocka_unit_test_setup_teardown(heir_and_late_commands, setup, teardown),
+      cmocka_unit_test_setup_teardown(two_leaders, setup_two, teardown),
       cmocka_unit_test_setup_teardown(lapsed_lease, setup, teardown),
       cmocka_unit_test_setup_teardown(newer_owner, setup, teardown),
       cmocka_unit_test_setup_teardown(quota_from_two_controllers, setup_two, teardown),
