--- a/src/controller.c
+++ b/src/controller.c
@@ -311,6 +311,7 @@
     memcpy(p->type, m->type, sizeof p->type);
     p->zone = m->zone;
     p->spot = m->spot;
+    p->now = now;
     p->drain = m->drain;
     p->owner = member_index(r, tmx_owner_of(r, m->id));
     if (ty) {
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -56,10 +56,12 @@
 /* The booked share of the most-asked resource; an image that must still be fetched counts as
  * room booked, the more of it the less time the job's class has to start (ours: the measure is
  * open in the design). */
+/* How long the image still takes to be there; one that is being fetched is not there yet. */
 static double fetch_time(const struct tmx_plan_machine *m, const struct tmx_spec *s) {
+  double whole = m->fetch > 0 ? s->image_gb / m->fetch : 0;
   for (size_t i = 0; i < m->n_images; i++)
-    if (!strcmp(m->images[i].name, s->image)) return 0;
-  return m->fetch > 0 ? s->image_gb / m->fetch : 0;
+    if (!strcmp(m->images[i].name, s->image)) return fmax(0, whole - (m->now - m->images[i].since));
+  return whole;
 }
 
 double tmx_booked_measure(const struct tmx_plan_machine *m, const struct tmx_spec *s) {
--- a/src/core/plan.h
+++ b/src/core/plan.h
@@ -13,6 +13,7 @@
   double ucpus, ugpus, umem; /* booked */
   double scpus, sgpus, smem; /* of that, being stopped: free soon */
   double fetch;              /* GB/s */
+  double now;                /* of the clock that images' `since` is on */
   struct tmx_image images[TMX_IMAGES_KEPT];
   size_t n_images;
 };
--- a/src/state/replica.c
+++ b/src/state/replica.c
@@ -311,15 +311,17 @@
 }
 
 /* A machine keeps the images used latest; how many is bounded here, not by its cache size. */
-static void remember_image(struct tmx_machine *m, const struct tmx_spec *s) {
+static void remember_image(struct tmx_machine *m, const struct tmx_spec *s, double since) {
   size_t i;
   for (i = 0; i < m->n_images; i++)
     if (!strcmp(m->images[i].name, s->image)) break;
+  if (i < m->n_images) since = m->images[i].since;
   if (i == m->n_images && m->n_images < TMX_IMAGES_KEPT) m->n_images++;
   if (i == TMX_IMAGES_KEPT) i--;
   memmove(&m->images[1], &m->images[0], i * sizeof m->images[0]);
   memcpy(m->images[0].name, s->image, sizeof m->images[0].name);
   m->images[0].gb = s->image_gb;
+  m->images[0].since = since;
 }
 
 static void apply_op(struct tmx_replica *r, const struct tmx_op *o) {
@@ -339,7 +341,7 @@
     t->machine->n_tasks++;
     j->n_placed++;
     book(r, t, 1);
-    remember_image(t->machine, &j->spec);
+    remember_image(t->machine, &j->spec, r->loaded ? r->now : -1e9);
     touched(r, t->machine);
     if (r->loaded && !t->machine->known) unplace(r, t);
     return;
--- a/src/state/replica.h
+++ b/src/state/replica.h
@@ -39,6 +39,7 @@
 struct tmx_image {
   char name[TMX_NAME_MAX];
   double gb;
+  double since; /* steady clock, s: when its fetch began; of old, if read at the start */
 };
 
 struct tmx_job;
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -90,6 +90,19 @@
   tmx_plan_input_free(in);
 }
 
+static void image_under_way(void **st) {
+  (void)st;
+  struct tmx_plan_machine m = {.cpus = 16, .mem = 64, .fetch = 1, .now = 100, .n_images = 1};
+  struct tmx_spec s = {.cpus = 2, .mem = 1, .image_gb = 4, .patience_s = 10};
+  strcpy(s.image, "img");
+  assert_float_equal(tmx_booked_measure(&m, &s), 0.4, 1e-9); /* 4 s of 10 */
+  strcpy(m.images[0].name, "img");
+  m.images[0].since = 99;
+  assert_float_equal(tmx_booked_measure(&m, &s), 0.3, 1e-9);
+  m.images[0].since = 90;
+  assert_float_equal(tmx_booked_measure(&m, &s), 0, 1e-9);
+}
+
 static void waits_rather_than_break_a_cap(void **st) {
   (void)st;
   /* two replicas, two zones, but all room is in one zone: the second replica waits */
@@ -253,6 +266,7 @@
   const struct CMUnitTest t[] = {
       cmocka_unit_test(caps),
       cmocka_unit_test(least_booked),
+      cmocka_unit_test(image_under_way),
       cmocka_unit_test(waits_rather_than_break_a_cap),
       cmocka_unit_test(quota_is_never_passed),
       cmocka_unit_test(only_the_leader_leaves_the_part),
