--- a/tests/test_rules.c
+++ b/tests/test_rules.c
@@ -181,6 +181,41 @@
   assert_int_equal(w.loads[0].attempt, 1);
 }
 
+static void restart(void) {
+  tmx_ctl_free(a);
+  a = controller(0, 1);
+  assert_true(pump(typed, a));
+}
+/* Restarts at the later steps: with a result in the log that was not reaped, with a task running,
+ * and with a cancellation whose tasks still run. */
+static void restart_at_later_steps(void **st) {
+  (void)st;
+  up(a);
+  submit(a, "wk-000001", "batch", 2, 2, "t");
+  for (int i = 0; i < 200 && w.executed_starts < 2; i++) pump_for(0.02);
+  worker_set(&w, "wk-000001/0", 1, WV_EXITED, WV_DONE);
+  worker_report(&w, a);
+  for (int i = 0; i < 200 && fake_placed() > 1; i++) pump_for(0.02);
+  assert_int_equal(fake_placed(), 1);
+  restart();
+  worker_set(&w, "wk-000001/0", 1, WV_EXITED, WV_DONE); /* its reap never came */
+  worker_report(&w, a);
+  assert_true(worker_has(&w, WV_FORGET, "wk-000001/0", 1));
+  assert_false(worker_has(&w, WV_STOP, "wk-000001/1", 1)); /* the running one goes on */
+  worker_do(&w);
+  assert_int_equal(w.executed_starts, 2);
+  w.mute = true;
+  assert_string_equal(cancel_job(a, "wk-000001").state, WV_CANCELLED);
+  restart();
+  w.mute = false;
+  worker_report(&w, a);
+  worker_do(&w);
+  assert_string_equal(poll_job(a, "wk-000001").state, WV_CANCELLED);
+  worker_report(&w, a);
+  assert_true(pump(none_placed, NULL));
+  assert_int_equal(w.executed_starts, 2);
+}
+
 /* A start of the earlier owner may still be under way: its heir believes no absence before the
  * worker has seen the heir's token. */
 static void heir_and_late_commands(void **st) {
@@ -508,6 +543,7 @@
       cmocka_unit_test_setup_teardown(unanswered_command, setup, teardown),
       cmocka_unit_test_setup_teardown(probe_overtakes_an_answer, setup, teardown),
       cmocka_unit_test_setup_teardown(restart_between_log_and_start, setup, teardown),
+      cmocka_unit_test_setup_teardown(restart_at_later_steps, setup, teardown),
       cmocka_unit_test_setup_teardown(heir_and_late_commands, setup, teardown),
       cmocka_unit_test_setup_teardown(two_leaders, setup_two, teardown),
       cmocka_unit_test_setup_teardown(lapsed_lease, setup, teardown),
