--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -19,33 +19,53 @@
 #define TMX_PARTIAL_S 15.0            /* s; a request must arrive whole in this time */
 
 /* --- state service (s unless said) --- */
+#define TMX_PUT_BURST_S 1.0           /* puts saved up for this long: all together stay within the
+                                         service's burst of a second */
+#define TMX_RICH 0.85                 /* of what may be saved up: batches need not keep to turns */
+#define TMX_TURN_PUTS 2.4             /* puts of a usual batch: sets the length of a turn */
+#define TMX_TURN_BEGIN 0.45           /* of a turn: a round begins within this, the rest is for planning,
+                                         sending and clocks that differ */
+#define TMX_ARRIVALS_MAX 400          /* submissions waiting for the log; more are refused at once */
+#define TMX_DIRECT_MAX 2              /* waiting submissions: so few go out at once, each as a put */
+#define TMX_DIRECT_TRIES 4            /* that lost against a batch: then it goes with the next one */
 #define TMX_LEASE_TTL_MS 6000         /* ms; refused peers are noticed sooner by heartbeats */
 #define TMX_LEASE_RENEW_S 1.2         /* five tries a lease */
 #define TMX_STATE_TIMEOUT_S 2.0       /* answers take 10 ms, at times a few hundred */
 #define TMX_WATCH_WAIT_MS 15000       /* ms; long, since an idle watch costs nothing */
-#define TMX_WATCH_SPACING_S 0.02      /* between watches: bounds requests at 50 a second */
-#define TMX_CONFIRM_SPACING_S 0.04    /* between revision reads: all waiting polls share one */
+#define TMX_WATCH_SHARE 0.45          /* of the request rate, for opening watches */
+#define TMX_WATCH_BURST_S 0.4         /* ... saved up for this long */
+#define TMX_CONFIRM_SHARE 0.3         /* ... for revision reads: all waiting polls share one */
 #define TMX_CONFIRM_IDLE_S 1.0        /* a revision read at least this often, for freshness */
 #define TMX_WATCH_LAG_S 0.7           /* behind a revision read this long: open the watch anew */
 #define TMX_STATE_RETRY_S 0.3         /* after an error of the state service */
 #define TMX_TXN_BYTES 49152           /* bytes; PROTOCOL allows 64 KiB, counted as JSON */
 #define TMX_FRESH_MARGIN_S 3.0        /* taken off cancel_s - lease_s: drift, delays, halts */
-#define TMX_FOLD_KEYS 3000            /* batch keys kept before old ones are folded: about 1 MB, read
-                                         in a second when a controller starts */
+#define TMX_FOLD_KEYS 1500            /* batch keys since the last fold: about 1 MB, read within a second
+                                         when a controller starts */
 #define TMX_FOLD_SPARE 0.5            /* of the write budget must be free for a step of folding */
 
 #define TMX_STATE_LOST_S 3.5          /* no revision read for this long: ask whether peers get any */
 
 /* --- rounds (s) --- */
+#define TMX_LINE_MAX 256              /* bytes; a line of the log: four names at most */
+#define TMX_LINE_TYPICAL 26           /* bytes; a placement: bounds what is planned at once */
 #define TMX_ROUND_SPACING_S 0.03      /* least time between two rounds of one controller */
+#define TMX_ROUND_PUTS 2.05           /* puts of the smallest batch: one value and head */
+#define TMX_RESENDS 6                 /* of a batch that lost the race for head; then planned anew */
+#define TMX_REGISTER_MAX 256          /* machines registered in one batch */
+#define TMX_PLAN_VISITS 400000        /* machines and tasks looked at in one round: about 20 ms */
+#define TMX_BEGIN_S 100.0             /* a job that waited this long gets a first task, and a share of the
+                                         room with others as old: the largest begin within four minutes */
+#define TMX_LANE_SHARE 0.25           /* of the tasks placed: that share for the oldest jobs */
+#define TMX_MOVES_LEAST 2             /* replicas down at a time because machines are returned ... */
+#define TMX_MOVES_SHARE 0.002         /* ... or this share of all replicas */
 #define TMX_ROUND_IDLE_S 2.0          /* the paper's draft period: a round without an event */
 #define TMX_ENDS_DELAY_S 0.25         /* completions wait this long to share a batch */
-#define TMX_LEADER_GRACE_S 0.4        /* a job's own controller goes first this long */
+#define TMX_LEADER_GRACE_S 0.2        /* a job's own controller goes first this long, and one full turn */
 #define TMX_WRITE_SHARE 0.85          /* of the write rate: the rest is for submissions */
 #define TMX_PATIENCE_S 10.0           /* a start without an aim: fetching this long is like a full
                                          machine */
 #define TMX_NO_AIM_S 600.0            /* when a job of a class without an aim counts as late */
-#define TMX_STARVED 3.0               /* times its aim: a job that old goes first */
 #define TMX_ENDS_ROUND 512            /* ended attempts taken into one round */
 #define TMX_PLAN_TASKS 400            /* tasks placed in one round at most */
 
@@ -53,22 +73,26 @@
 #define TMX_BUMP_BITS 24              /* of a token, below the term: bumps of one machine */
 #define TMX_BUMP_MAX ((1u << TMX_BUMP_BITS) - 1)
 #define TMX_COMMAND_TIMEOUT_S 1.5     /* unanswered after this: bump the token */
-#define TMX_TAKE_AFTER_S 5.0          /* a worker that comes back this long after being sent to its
-                                         owner cannot reach it: take it over */
+#define TMX_WORKERS_MAX 8192          /* machines known at a time */
+#define TMX_ORDERS_MAX 400            /* orders in one answer */
+#define TMX_WORKER_CONNS_SHARE 0.3    /* of the sockets: connections kept to workers */
+#define TMX_TAKE_AFTER_S 3.5          /* a worker that is back this long after being sent to its owner
+                                         cannot reach it (it waits 4 s for an answer): take it over */
 #define TMX_TAKE_WITHIN_S 20.0        /* ... and within this */
-#define TMX_TAKE_MAX 32               /* machines taken over in one view */
+#define TMX_TAKE_SILENT_S 2.0         /* ... or one that its owner has not heard for this long */
+#define TMX_TAKE_MAX 200              /* machines taken over in one view */
 #define TMX_TAKE_HOLD_S 0.6           /* a report waits this long for the view that takes its worker */
 #define TMX_VIEW_SPACING_S 0.15       /* between two views of one controller */
-#define TMX_HEARD_S 4.5               /* no report for this long: no new tasks on the machine */
-#define TMX_SILENT_REPORTS 1.4        /* report periods without a report anywhere (they vary by a
-                                         quarter) before a machine may be given up */
-#define TMX_PROBE_AFTER_S 1.2         /* no sign of a machine for this long: the leader asks it */
-#define TMX_PROBE_S 0.5               /* between probes, and the wait for an answer */
-#define TMX_PROBE_LATE_S 2.0          /* a machine at work is heard or answers a probe within this */
+#define TMX_REPORT_LATE_S 1.0         /* past report_s and a quarter: a report is missing */
+#define TMX_PROBE_AFTER_S 1.2         /* no proof of reaching a machine for this long: it is asked ... */
+#define TMX_PROBE_SHARE 0.12          /* ... as far as this share of the processor goes */
+#define TMX_PROBE_COST_S 0.00025      /* processor time of a probe, measured */
+#define TMX_PROBE_S 0.5               /* between probes in doubt, and the wait for an answer */
 #define TMX_ZONE_CUT_S 4.0            /* a zone counts as cut off for this long after the last sign */
 #define TMX_PROBES_LOST 3             /* in a row: the machine is given up */
-#define TMX_PROBES_TICK 12            /* probes started in one sweep, whatever the cluster's size */
-#define TMX_SWEEP_S 0.25              /* machines are looked through this often by the leader */
+#define TMX_SILENT_S 1.5              /* ... if it gave no other sign for this long */
+#define TMX_REACH_LEAST 4             /* machines: fewer say nothing of a controller's own trouble */
+#define TMX_SWEEP_S 0.25              /* machines are looked through this often */
 #define TMX_SETTLE_S 3.0              /* a new leader first hears its peers and the workers */
 #define TMX_SICK_ERRORS 4             /* errors in a row from two jobs or more: a faulty machine */
 #define TMX_RETRY_BASE_S 0.5          /* backoff of a job whose tasks fail: doubles a failure */
@@ -78,6 +102,9 @@
 #define TMX_BEAT_S 0.4                /* heartbeat period */
 #define TMX_BEAT_DEAD_S 1.3           /* refused and silent for this long: advice that it is dead */
 #define TMX_BEAT_LOST_S 2.5           /* silent for this long: its advice no longer counts */
+#define TMX_SILENT_PEER_S 3.5         /* it alone is silent for this long: left out of the view */
+#define TMX_WROTE_ALIVE_S 1.6         /* a batch of its this young: refused, and yet alive */
+#define TMX_SPLIT_HOLD_S 5.0          /* zones are taken to be apart until heard for this long */
 
 /* --- users (s) --- */
 #define TMX_USER_WAIT_S 1.5           /* a waiting poll is refused after this; users wait 2 s */
@@ -100,7 +127,13 @@
 #define TMX_ROOM_OVER_PEAK 0.1        /* ... and this share more */
 #define TMX_ROOM_TO_MOVE 2.0          /* times a machine's replicas must be free in its zone first */
 #define TMX_ROOM_AFTER 0.2            /* ... and this share of the zone's part of the peak */
-#define TMX_DRAIN_SPACING_S 3.0       /* between two machines chosen to be returned */
+#define TMX_DRAIN_SPACING_S 3.0       /* between two choices of machines to be returned ... */
+#define TMX_DRAIN_SHARE 0.006         /* ... one, and this share of all */
+#define TMX_HIRE_MAX 50               /* machines; PROTOCOL's limit of one request */
+#define TMX_HIRES_ROUND 1024          /* machines rented in one weighing */
+#define TMX_DELETE_MAX 100            /* machines; PROTOCOL's limit of one request */
+#define TMX_UNREACHED_LEASES 0.5      /* of a lease: a machine that is heard and not reached is replaced */
+#define TMX_NEVER_HEARD_S 25.0        /* listed as running and silent for this long, and two reports */
 #define TMX_BOOT_LATE 4.0             /* times boot_s: a machine that boots longer is returned */
 #define TMX_HEADROOM 0.08             /* of the room booked by services, kept free for restarts */
 
--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -36,7 +36,7 @@
 
 struct hire_call {
   struct tmx_cloud *k;
-  char name[TMX_NAME_MAX + 32], type[TMX_ID_MAX];
+  char name[TMX_NAME_MAX + 48], type[TMX_ID_MAX];
   int zone, tries;
   bool spot;
   uint32_t count;
@@ -44,7 +44,7 @@
 };
 struct delete_call {
   struct tmx_cloud *k;
-  char ids[50][TMX_ID_MAX];
+  char ids[TMX_DELETE_MAX][TMX_ID_MAX];
   size_t n;
 };
 
@@ -149,9 +149,15 @@
   }
   if (n) {
     if (!k->n_types) tmx_log(TMX_INFO, "cloud: %zu machine types", n);
+    bool sizes = n != k->n_types;
+    for (size_t i = 0; i < n && !sizes; i++)
+      sizes = strcmp(t[i].name, k->types[i].name) || t[i].cpus != k->types[i].cpus ||
+              t[i].gpus != k->types[i].gpus || t[i].mem != k->types[i].mem;
     memcpy(k->types, t, sizeof t);
     k->n_types = n;
-    tmx_ctl_kick(k->c);
+    struct tmx_machine *x, *xt;
+    if (sizes) HASH_ITER(hh, k->c->rep.machines, x, xt) tmx_rounds_machine(k->c->rounds, x);
+    tmx_rounds_kick(k->c);
   }
   tmx_cbor_free(m);
 }
@@ -254,11 +260,6 @@
 static void send_hire(struct hire_call *h);
 
 static void drop_hire(struct hire_call *h) {
-  struct tmx_txn t = {0};
-  char key[TMX_KEY_MAX + 1];
-  snprintf(key, sizeof key, TMX_K_HIRE "%s", h->name);
-  tmx_txn_drop(&t, key);
-  tmx_link_commit(h->k->c->link, &t, false, NULL, NULL);
   h->k->hires_busy--;
   free(h);
 }
@@ -316,79 +317,121 @@
   if (!ok) drop_hire(h);
 }
 
-static void on_hire_logged(void *arg, int res, uint64_t rev) {
-  struct hire_call *h = arg;
-  (void)rev;
-  /* a name goes out only once it is known to be taken: nobody uses it again */
-  if (res == TMX_TXN_OK && tmx_link_leading(h->k->c->link)) {
+/* The name holds the run of this process, which no other run has: nobody uses it again. */
+static void hire(struct tmx_cloud *k, const struct tmx_offer *o, uint32_t count) {
+  for (; count; count -= count < TMX_HIRE_MAX ? count : TMX_HIRE_MAX) {
+    struct hire_call *h = calloc(1, sizeof *h);
+    if (!h) abort();
+    h->k = k;
+    h->zone = o->zone;
+    h->spot = o->spot;
+    h->count = count < TMX_HIRE_MAX ? count : TMX_HIRE_MAX;
+    h->started = tmx_now();
+    snprintf(h->type, sizeof h->type, "%s", o->type->name);
+    snprintf(h->name, sizeof h->name, "%s-%llu-%llu", k->c->set.node,
+             (unsigned long long)tmx_link_inc(k->c->link), (unsigned long long)++k->hire_seq);
+    k->hires_busy++;
     send_hire(h);
-  } else {
-    h->k->hires_busy--;
-    free(h);
   }
 }
 
-static void hire(struct tmx_cloud *k, const struct tmx_offer *o, uint32_t count) {
-  struct hire_call *h = calloc(1, sizeof *h);
-  struct tmx_txn t = {0};
-  struct tmx_buf v = {0};
-  char key[TMX_KEY_MAX + 1];
-  if (!h) abort();
-  h->k = k;
-  h->zone = o->zone;
-  h->spot = o->spot;
-  h->count = count > 50 ? 50 : count;
-  h->started = tmx_now();
-  snprintf(h->type, sizeof h->type, "%s", o->type->name);
-  snprintf(h->name, sizeof h->name, "%s-%llu-%llu", k->c->set.node,
-           (unsigned long long)tmx_link_inc(k->c->link), (unsigned long long)++k->hire_seq);
-  snprintf(key, sizeof key, TMX_K_HIRE "%s", h->name);
-  tmx_w_map(&v, 2);
-  tmx_w_kstr(&v, "type", h->type);
-  tmx_w_ku64(&v, "count", h->count);
-  tmx_txn_if(&t, key, 0);
-  tmx_txn_put(&t, key, &v, 0);
-  tmx_buf_free(&v);
-  k->hires_busy++;
-  if (!tmx_link_commit(k->c->link, &t, true, on_hire_logged, h)) {
-    k->hires_busy--;
-    free(h);
+struct needs {
+  struct tmx_demand *v;
+  size_t n, cap;
+};
+
+static bool alike(const struct tmx_spec *a, const struct tmx_spec *b) {
+  return a->service == b->service && a->cpus == b->cpus && a->gpus == b->gpus && a->mem == b->mem &&
+         a->spot == b->spot && a->n_types == b->n_types && a->spread == b->spread &&
+         a->estimate_s * 2 > b->estimate_s && b->estimate_s * 2 > a->estimate_s &&
+         !memcmp(a->types, b->types, a->n_types * sizeof a->types[0]);
+}
+
+/* Jobs of one shape count as one demand: what is rented for them is the same. */
+static void need(struct needs *d, const struct tmx_spec *s, int zone, uint32_t tasks) {
+  if (!tasks) return;
+  for (size_t i = 0; i < d->n; i++)
+    if (d->v[i].zone == zone && alike(d->v[i].spec, s)) {
+      d->v[i].tasks += tasks;
+      return;
+    }
+  if (d->n == d->cap) {
+    d->cap = d->cap * 2 + 32;
+    d->v = realloc(d->v, d->cap * sizeof *d->v);
+    if (!d->v) abort();
   }
+  d->v[d->n++] = (struct tmx_demand){s, tasks, zone};
+}
+
+/* A service's waiting tasks by the zones that its cap leaves open, the emptiest first. */
+static void need_service(const struct tmx_ctl *c, struct needs *d, const struct tmx_job *j,
+                         uint32_t w) {
+  const struct tmx_spec *s = &j->spec;
+  uint32_t cap = tmx_zone_cap(s, c->set.n_zones), add[TMX_ZONES_MAX] = {0};
+  if (s->zone[0] || s->one_zone || c->set.n_zones < 2) {
+    int zone = s->zone[0] ? tmx_zone_index(&c->set, s->zone) : -1;
+    for (size_t z = 0; zone < 0 && s->one_zone && z < c->set.n_zones; z++)
+      if (j->zone_live[z]) zone = (int)z;
+    need(d, s, zone, w);
+    return;
+  }
+  for (; w; w--) {
+    size_t best = c->set.n_zones;
+    for (size_t z = 0; z < c->set.n_zones; z++) {
+      if (j->zone_live[z] + add[z] >= cap) continue;
+      if (best == c->set.n_zones || j->zone_live[z] + add[z] < j->zone_live[best] + add[best])
+        best = z;
+    }
+    if (best == c->set.n_zones) break;
+    add[best]++;
+  }
+  for (size_t z = 0; z < c->set.n_zones; z++) need(d, s, (int)z, add[z]);
 }
 
 static void weigh(struct tmx_cloud *k) {
   struct tmx_ctl *c = k->c;
   struct tmx_replica *r = &c->rep;
   double now = tmx_now(), have = 0;
-  struct tmx_demand d[256];
+  struct needs d = {0};
   struct tmx_offer o[TMX_TYPES_MAX * TMX_ZONES_MAX * 2];
-  struct tmx_coming cm[256];
-  size_t n_d = 0, n_o = 0, n_c = 0;
+  size_t n_o = 0, n_c = 0;
   double team[TMX_TEAMS_MAX];
   for (size_t i = 0; i < c->set.n_teams; i++)
     team[i] = c->set.teams[i].cpus_max > 0 ? c->set.teams[i].cpus_max - r->usage[i].cpus : 1e9;
   struct tmx_job *j, *jt;
   HASH_ITER(hh, r->jobs, j, jt) {
-    if (j->fin || j->team < 0 || n_d == 256) continue;
+    if (j->fin || j->team < 0) continue;
     uint32_t w = j->spec.tasks - j->n_done - j->n_placed;
     if (!w || now - j->loaded_at < 0.5) continue;
-    while (w && j->spec.cpus > 0 && team[j->team] < w * j->spec.cpus) w--; /* its limit holds it */
+    if (j->spec.cpus > 0 && team[j->team] < w * j->spec.cpus) /* its limit holds it */
+      w = team[j->team] > 0 ? (uint32_t)(team[j->team] / j->spec.cpus) : 0;
     if (!w) continue;
     team[j->team] -= w * j->spec.cpus;
-    d[n_d++] = (struct tmx_demand){&j->spec, w, now - j->loaded_at};
+    if (j->spec.service)
+      need_service(c, &d, j, w);
+    else
+      need(&d, &j->spec, j->spec.zone[0] ? tmx_zone_index(&c->set, j->spec.zone) : -1, w);
   }
-  if (!n_d) return;
+  if (!d.n) return;
+  /* room that is there or on its way */
+  struct tmx_coming *cm =
+      calloc(HASH_COUNT(r->machines) + HASH_COUNT(k->listed) + 1, sizeof *cm);
+  if (!cm) abort();
   struct tmx_machine *m, *mt;
   HASH_ITER(hh, r->machines, m, mt) {
     const struct tmx_type *t = tmx_cloud_type(k, m->type);
-    if (t && m->known && !m->drain) have += t->cpus;
+    if (!t || !m->known || m->drain) continue;
+    have += t->cpus;
+    if (m->usable && t->cpus > m->cpus && t->mem > m->mem)
+      cm[n_c++] = (struct tmx_coming){t,       m->zone, m->spot, t->cpus - m->cpus, t->gpus - m->gpus,
+                                      t->mem - m->mem};
   }
   struct listed *l, *lt;
   HASH_ITER(hh, k->listed, l, lt) {
     const struct tmx_type *t = tmx_cloud_type(k, l->type);
     m = tmx_machine_find(r, l->id);
-    if (!t || l->state == LS_FAILED || l->deleting || (m && m->known) || n_c == 256) continue;
-    cm[n_c++] = (struct tmx_coming){t, l->zone, l->spot};
+    if (!t || l->state == LS_FAILED || l->deleting || (m && m->known)) continue;
+    cm[n_c++] = (struct tmx_coming){t, l->zone, l->spot, t->cpus, t->gpus, t->mem};
   }
   for (size_t i = 0; i < k->n_types; i++)
     for (size_t z = 0; z < c->set.n_zones; z++)
@@ -398,19 +441,15 @@
         o[n_o++] = (struct tmx_offer){&k->types[i], (int)z, spot,
                                       spot ? k->types[i].spot_price : k->types[i].price};
       }
-  struct tmx_hire h[16];
-  size_t n = tmx_capacity(d, n_d, o, n_o, cm, n_c, have, h, 16);
+  struct tmx_hire h[32];
+  size_t n = tmx_capacity(d.v, d.n, o, n_o, cm, n_c, have, h, 32);
   for (size_t i = 0; i < n; i++) hire(k, &o[h[i].offer], h[i].count);
+  free(cm);
+  free(d.v);
 }
 
 /* ------------------------------------------------------------ returning */
 
-static void on_dropped(void *arg, int res, uint64_t rev) {
-  (void)arg;
-  (void)res;
-  (void)rev;
-}
-
 /* Deleted machines are gone, with all that was on them: that is the proof to record. */
 static void on_deleted(void *arg, int status, const uint8_t *body, size_t len) {
   struct delete_call *d = arg;
@@ -419,18 +458,13 @@
   (void)len;
   k->delete_busy = false;
   if (status == 200) {
-    struct tmx_txn t = {0};
     for (size_t i = 0; i < d->n; i++) {
+      char line[TMX_LINE_MAX];
       /* lists lag: it stays marked until none has shown it for long, and is not deleted again */
       listed_make(k, d->ids[i])->deleting = true;
       if (!tmx_machine_find(&k->c->rep, d->ids[i])) continue;
-      char key[TMX_KEY_MAX + 1];
-      snprintf(key, sizeof key, TMX_K_MACHINE "%s", d->ids[i]);
-      tmx_txn_drop(&t, key);
-    }
-    if (t.n_ops) {
-      tmx_txn_head(&t, k->c->set.node);
-      tmx_link_commit(k->c->link, &t, true, on_dropped, k);
+      snprintf(line, sizeof line, "%c %s", TMX_LINE_GONE, d->ids[i]);
+      tmx_rounds_line(k->c->rounds, line);
     }
   } else {
     for (size_t i = 0; i < d->n; i++) {
@@ -444,31 +478,10 @@
 
 /* A machine marked so gets no new work, and is returned when it is empty. */
 static void drain(struct tmx_cloud *k, struct tmx_machine *m, bool on) {
-  struct tmx_txn t = {0};
-  struct tmx_buf v = {0};
-  char key[TMX_KEY_MAX + 1];
-  snprintf(key, sizeof key, TMX_K_MACHINE "%s", m->id);
-  tmx_w_map(&v, 5);
-  tmx_w_kstr(&v, "addr", m->addr);
-  tmx_w_kstr(&v, "type", m->type);
-  tmx_w_kstr(&v, "zone", m->zone >= 0 ? k->c->set.zones[m->zone] : "");
-  tmx_w_kbool(&v, "spot", m->spot);
-  tmx_w_kbool(&v, "drain", on);
-  tmx_txn_if(&t, key, m->stamp);
-  tmx_txn_if(&t, TMX_K_HEAD, k->c->rep.head);
-  tmx_txn_put(&t, key, &v, 0);
-  tmx_txn_head(&t, k->c->set.node);
-  tmx_buf_free(&v);
+  char line[TMX_LINE_MAX];
+  snprintf(line, sizeof line, "%c %s %d", TMX_LINE_DRAIN, m->id, on);
   tmx_log(TMX_INFO, "cloud: %s is %s needed", m->id, on ? "no longer" : "again");
-  tmx_link_commit(k->c->link, &t, false, NULL, NULL);
-}
-
-static bool peers_all_heard(struct tmx_ctl *c) {
-  for (size_t i = 0; i < c->rep.view.n_members; i++) {
-    const char *n = c->rep.view.members[i].name;
-    if (strcmp(n, c->set.node) && tmx_peers_silence(c->peers, n) > 1.5) return false;
-  }
-  return true;
+  tmx_rounds_line(k->c->rounds, line);
 }
 
 /* The most room that was in use or asked for within the last TMX_PEAK_S. */
@@ -485,38 +498,49 @@
   return most;
 }
 
-/* Returns the dearest machine that the peak of the last while would not have needed. Its arrays
- * run to their end; its replicas move, so room for them must be free in the same zone. */
+struct choice {
+  struct tmx_machine *m;
+  double v;
+};
+static int dearest(const void *a, const void *b) {
+  const struct choice *x = a, *y = b;
+  return x->v == y->v ? strcmp(x->m->id, y->m->id) : x->v > y->v ? -1 : 1;
+}
+
+/* Returns the dearest machines that the peak of the last while would not have needed, a few at a
+ * time. Their arrays run to their end; their replicas move, so room for them must be free in the same
+ * zone. */
 static void shrink(struct tmx_cloud *k, double booked, bool waiting) {
   struct tmx_ctl *c = k->c;
   struct tmx_replica *r = &c->rep;
   double now = tmx_now(), peak = peak_booked(k, now, booked), have = 0;
   double zone_free[TMX_ZONES_MAX] = {0};
-  struct tmx_machine *m, *mt, *best = NULL;
-  double best_v = 0;
-  int draining = 0;
+  struct tmx_machine *m, *mt;
+  size_t draining = 0, n = 0, known = 0;
   if (now - k->led_since < TMX_PEAK_S || now - k->drain_at < TMX_DRAIN_SPACING_S) return;
+  k->drain_at = now;
   HASH_ITER(hh, r->machines, m, mt) {
     const struct tmx_type *t = tmx_cloud_type(k, m->type);
     if (!m->known || !t) continue;
+    known++;
     if (m->drain) {
-      draining++;
       /* work waits: what is about to be returned is nearer than anything that must boot */
-      if (waiting && m->tasks && !(m->errors >= TMX_SICK_ERRORS && m->error_two)) {
-        k->drain_at = now;
+      if (waiting && m->tasks && !(m->errors >= TMX_SICK_ERRORS && m->error_two))
         drain(k, m, false);
-        return;
-      }
+      else
+        draining++;
       continue;
     }
     have += t->cpus;
     if (m->zone >= 0 && !m->spot) zone_free[m->zone] += t->cpus - m->cpus;
   }
-  if (draining >= 3) return;
+  size_t step = 1 + (size_t)(TMX_DRAIN_SHARE * (double)known);
+  if (waiting || draining >= 3 * step) return;
+  struct choice *v = calloc(known + 1, sizeof *v);
+  if (!v) abort();
   HASH_ITER(hh, r->machines, m, mt) {
     const struct tmx_type *t = tmx_cloud_type(k, m->type);
     if (!m->known || !t || m->drain || m->zone < 0) continue;
-    if (have - t->cpus < peak * (1 + TMX_ROOM_OVER_PEAK)) continue;
     double services = 0;
     for (struct tmx_task *x = m->tasks; x; x = x->next)
       if (x->job->spec.service) services += x->job->spec.cpus;
@@ -525,16 +549,18 @@
         spare < TMX_ROOM_TO_MOVE * services + TMX_ROOM_AFTER * peak / (double)c->set.n_zones)
       continue;
     /* price of a CPU, less for work under way and for replicas that must move */
-    double v = (m->spot ? t->spot_price : t->price) / t->cpus * (1.2 - m->cpus / t->cpus) *
-               (1 - 0.5 * services / t->cpus);
-    if (!best || v > best_v) {
-      best = m;
-      best_v = v;
-    }
-  }
-  if (!best) return;
-  k->drain_at = now;
-  drain(k, best, true);
+    v[n++] = (struct choice){m, (m->spot ? t->spot_price : t->price) / t->cpus *
+                                    (1.2 - m->cpus / t->cpus) * (1 - 0.5 * services / t->cpus)};
+  }
+  qsort(v, n, sizeof *v, dearest);
+  for (size_t i = 0; i < n && step; i++) {
+    double cpus = tmx_cloud_type(k, v[i].m->type)->cpus;
+    if (have - cpus < peak * (1 + TMX_ROOM_OVER_PEAK)) continue;
+    have -= cpus;
+    drain(k, v[i].m, true);
+    step--;
+  }
+  free(v);
 }
 
 static void sweep(struct tmx_cloud *k) {
@@ -545,11 +571,9 @@
   struct delete_call *d = calloc(1, sizeof *d);
   if (!d) abort();
   d->k = k;
-  size_t max = (size_t)c->set.txn_ops - 2;
-  if (max > 50) max = 50;
-  double silent =
-      c->set.op.silent_s > 0 ? c->set.op.silent_s : c->set.report_s * TMX_SILENT_REPORTS;
-  bool settled = now - k->led_since > TMX_SETTLE_S && peers_all_heard(c);
+  size_t max = TMX_DELETE_MAX;
+  double silent = c->set.op.silent_s > 0 ? c->set.op.silent_s : TMX_SILENT_S;
+  bool settled = now - k->led_since > TMX_SETTLE_S;
   bool waiting = false;
   struct tmx_job *j, *jt;
   double asked = 0;
@@ -559,49 +583,53 @@
     asked += (j->spec.tasks - j->n_done - j->n_placed) * j->spec.cpus;
   }
   struct tmx_machine *m, *mt;
-  size_t n_known = 0, n_own = 0, n_zone[TMX_ZONES_MAX] = {0}, n_lost[TMX_ZONES_MAX] = {0};
+  size_t n_zone[TMX_ZONES_MAX] = {0}, n_lost[TMX_ZONES_MAX] = {0};
   double room = 0, services = 0, booked = 0;
+  bool heard[TMX_MEMBERS_MAX];
+  for (size_t i = 0; i < r->view.n_members; i++) {
+    const char *n = r->view.members[i].name;
+    heard[i] = !strcmp(n, c->set.node) ? !tmx_ctl_no_workers(c)
+                                       : tmx_peers_silence(c->peers, n) < TMX_BEAT_DEAD_S &&
+                                             !tmx_peers_cut(c->peers, n);
+  }
   HASH_ITER(hh, r->machines, m, mt) {
     if (!m->known) continue;
-    struct tmx_health h = tmx_workers_health(c->workers, m->id);
-    n_known++;
-    n_own += h.own_age < TMX_PROBE_LATE_S;
-    if (m->zone >= 0) {
+    struct tmx_suspect x;
+    if (m->zone >= 0 && m->owner >= 0 && heard[m->owner]) {
       n_zone[m->zone]++;
-      n_lost[m->zone] += h.alive_age > TMX_PROBE_LATE_S;
+      n_lost[m->zone] += tmx_workers_suspect(c->workers, m, &x) && x.lost >= 2;
     }
     const struct tmx_type *t = tmx_cloud_type(k, m->type);
     if (t && !m->drain) room += t->cpus - m->cpus;
     booked += m->cpus;
-    for (struct tmx_task *x = m->tasks; x; x = x->next)
-      if (x->job->spec.service) services += x->job->spec.cpus;
+    for (struct tmx_task *x2 = m->tasks; x2; x2 = x2->next)
+      if (x2->job->spec.service) services += x2->job->spec.cpus;
   }
-  int probes = 0;
   /* Most of a zone silent at once is a cut between it and us, or our own trouble, and its work may
    * go on: nothing of it is given up before its leases must have lapsed. */
   for (size_t z = 0; z < c->set.n_zones; z++)
     if (n_lost[z] >= 3 ? n_lost[z] * 2 > n_zone[z] : n_lost[z] == 2 && n_zone[z] == 2)
       k->cut_until[z] = now + TMX_ZONE_CUT_S;
-  /* While this controller reaches nearly all machines, its own probes are proof enough of silence;
-   * otherwise the trouble may be its own, and reports that others get must be missing too. */
-  bool reaching = n_own * 10 >= n_known * 7;
   bool lapsed = now - k->led_since > c->set.lease_s;
   HASH_ITER(hh, r->machines, m, mt) {
     if (!m->known || d->n == max) continue;
     struct listed *l;
     HASH_FIND_STR(k->listed, m->id, l);
     const struct tmx_type *t = tmx_cloud_type(k, m->type);
-    double age = tmx_workers_health(c->workers, m->id).alive_age;
-    int lost = 0;
-    if (age > TMX_PROBE_AFTER_S && probes++ < TMX_PROBES_TICK)
-      lost = tmx_workers_probe(c->workers, m);
-    if (age < silent && !reaching) lost = 0;
+    struct tmx_suspect x = {.silence = 0};
+    /* its owner's word, if that reaches its other machines */
+    bool doubt = m->owner >= 0 && heard[m->owner] && tmx_workers_suspect(c->workers, m, &x);
+    bool lost = doubt && x.lost >= TMX_PROBES_LOST;
     const char *why = NULL;
     if (l && l->state == LS_FAILED)
       why = "failed";
-    else if (settled && lost >= TMX_PROBES_LOST &&
-             (m->zone < 0 || now > k->cut_until[m->zone] || (age > c->set.lease_s && lapsed)))
+    else if (settled && lost && x.silence > silent &&
+             (m->zone < 0 || now > k->cut_until[m->zone] ||
+              (x.silence > c->set.lease_s && lapsed)))
       why = "silent";
+    else if (settled && doubt && now > k->cut_until[m->zone < 0 ? 0 : m->zone] &&
+             fmax(x.unreached, x.lost * TMX_PROBE_S) > c->set.lease_s * TMX_UNREACHED_LEASES)
+      why = "heard, and not reached";
     else if (m->drain && !m->tasks)
       why = "drained";
     else if (m->errors >= TMX_SICK_ERRORS && m->error_two && !m->tasks)
@@ -654,7 +682,8 @@
       why = "boots too long";
     else if (l->state == LS_RUNNING) {
       if (!l->unheard_since) l->unheard_since = now;
-      if (settled && now - l->unheard_since > 45) why = "never heard";
+      if (settled && now - l->unheard_since > TMX_NEVER_HEARD_S + 2 * c->set.report_s)
+        why = "never heard";
     }
     if (!why) continue;
     tmx_log(TMX_INFO, "cloud: deleting %s: %s", l->id, why);
--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -174,6 +174,13 @@
   o->silent_s = 0;
 }
 
+int tmx_node_zone(const struct tmx_settings *s, const char *node) {
+  if (!strcmp(node, s->node)) return tmx_zone_index(s, s->zone);
+  for (size_t i = 0; i < s->n_peers; i++)
+    if (!strcmp(node, s->peers[i].name)) return tmx_zone_index(s, s->peers[i].zone);
+  return -1;
+}
+
 int tmx_zone_index(const struct tmx_settings *s, const char *zone) {
   for (size_t i = 0; i < s->n_zones; i++)
     if (!strcmp(s->zones[i], zone)) return (int)i;
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -53,6 +53,7 @@
 #endif
     bool
     tmx_operator_load(struct tmx_operator *o, const char *path, char *err, size_t cap);
+int tmx_node_zone(const struct tmx_settings *s, const char *node); /* -1: not known */
 int tmx_zone_index(const struct tmx_settings *s, const char *zone);
 int tmx_team_index(const struct tmx_settings *s, const char *team);
 #endif
--- a/src/controller.h
+++ b/src/controller.h
@@ -13,9 +13,8 @@
 struct tmx_users;
 struct tmx_cloud;
 struct tmx_peers;
-struct tmx_planner;
+struct tmx_rounds;
 struct tmx_fold;
-struct ends;
 
 struct tmx_ctl {
   struct ev_loop *loop;
@@ -27,29 +26,47 @@
   struct tmx_cloud *cloud;
   struct tmx_peers *peers;
   struct tmx_server *server;
-  struct tmx_planner *planner;
+  struct tmx_rounds *rounds;
   struct tmx_fold *fold;
-  ev_timer tick, round;
+  ev_timer tick;
   ev_prepare prepare;
-  bool round_busy, round_wanted, view_busy;
-  double round_at, wait_rev_at, view_at;
-  uint64_t wait_rev, batch_seq;
-  struct ends *ends; /* of the round under way */
+  bool view_busy;
+  double view_at, split_at, started_at;
+  double led_at; /* this controller has led since */
 };
 
 /* false: err says why */
 struct tmx_ctl *tmx_ctl_new(struct ev_loop *loop, const struct tmx_settings *s, char *err,
                             size_t cap);
 void tmx_ctl_free(struct tmx_ctl *c);
-void tmx_ctl_kick(struct tmx_ctl *c);              /* something is worth a round now */
-void tmx_ctl_kick_in(struct tmx_ctl *c, double s); /* ... within this time */
+int tmx_ctl_self(const struct tmx_ctl *c);           /* member index; -1: none */
 bool tmx_ctl_fresh(const struct tmx_ctl *c);       /* may act for the controllers */
 bool tmx_ctl_cut_off(const struct tmx_ctl *c);     /* from a state service that others reach */
+bool tmx_ctl_no_workers(const struct tmx_ctl *c);  /* it reaches hardly any of its own */
 uint64_t tmx_ctl_token(const struct tmx_ctl *c, uint32_t bump);
 /* Takes machines over from owners that they cannot reach. */
 void tmx_ctl_take(struct tmx_ctl *c, const char *const *machines, size_t n);
 int tmx_retry_after(void);
 
+/* src/rounds.c: rounds of placing, and the batches that they write */
+struct tmx_rounds *tmx_rounds_new(struct tmx_ctl *c);
+void tmx_rounds_free(struct tmx_rounds *p);
+void tmx_rounds_kick(struct tmx_ctl *c);              /* something is worth a round now */
+void tmx_rounds_kick_in(struct tmx_ctl *c, double s); /* ... within this time */
+void tmx_rounds_machine(struct tmx_rounds *p, struct tmx_machine *m); /* it changed */
+void tmx_rounds_job(struct tmx_rounds *p, struct tmx_job *j);
+void tmx_rounds_gone(struct tmx_rounds *p, struct tmx_machine *m);
+void tmx_rounds_reset(struct tmx_rounds *p);
+/* A line for the log, kept until it is committed: a machine to be returned, or gone by proof. */
+void tmx_rounds_line(struct tmx_rounds *p, const char *line);
+/* A submission for the log; cb(arg, TMX_TXN_*): committed, known already, refused or unknown. Takes
+ * the encoded job over. false: no room for it now. */
+typedef void (*tmx_arrival_cb)(void *arg, int result);
+bool tmx_rounds_arrival(struct tmx_ctl *c, const char *id, struct tmx_buf *value, double within,
+                        tmx_arrival_cb cb, void *arg);
+void tmx_rounds_flush(struct tmx_rounds *p); /* after each turn of the loop */
+double tmx_rounds_aim(const struct tmx_ctl *c, const struct tmx_spec *s); /* s, to be done */
+
 /* src/state: folding of old batches, by the leader */
 struct tmx_fold *tmx_fold_new(struct tmx_ctl *c);
 void tmx_fold_free(struct tmx_fold *f);
@@ -60,9 +77,10 @@
 struct tmx_workers *tmx_workers_new(struct tmx_ctl *c);
 void tmx_workers_free(struct tmx_workers *w);
 void tmx_workers_report(struct tmx_workers *w, struct tmx_req *r);
-void tmx_workers_changed(struct tmx_workers *w, const char *machine); /* its orders may differ */
-void tmx_workers_gone(struct tmx_workers *w, const char *machine);
-void tmx_workers_tick(struct tmx_workers *w);
+void tmx_workers_changed(struct tmx_workers *w, struct tmx_machine *m); /* its orders may differ */
+void tmx_workers_gone(struct tmx_workers *w, struct tmx_machine *m);
+void tmx_workers_flush(struct tmx_workers *w); /* sends what the latest events made due */
+void tmx_workers_tick(struct tmx_workers *w);  /* health and probes */
 /* Ends that reports prove, at most max of them, and machines not registered yet. */
 size_t tmx_workers_ends(struct tmx_workers *w, struct tmx_op *ops, size_t max);
 struct tmx_worker_facts {
@@ -70,17 +88,28 @@
   bool spot;
 };
 size_t tmx_workers_unregistered(struct tmx_workers *w, struct tmx_worker_facts *out, size_t max);
-struct tmx_health {
-  double age;       /* s since any controller heard it; 1e9: never */
-  double alive_age; /* ... or it answered a probe of this one */
-  double own_age;   /* s since this controller itself had a sign of it */
+void tmx_workers_viewed(struct tmx_workers *w); /* owners may differ */
+void tmx_workers_clear(struct tmx_workers *w);  /* the replica is read anew */
+/* What the owners say of their machines: each of its own in its heartbeats, only of those that
+ * something is wrong with. */
+struct tmx_suspect {
+  char id[TMX_ID_MAX];
+  double silence;  /* s without a sign of life */
+  int lost;        /* probes in a row */
+  double unreached; /* s that nothing has shown that it hears us; 0: it does */
   bool notice;
 };
-struct tmx_health tmx_workers_health(struct tmx_workers *w, const char *machine);
-int tmx_workers_probe(struct tmx_workers *w, const struct tmx_machine *m); /* probes lost */
-/* For heartbeats. */
-typedef void (*tmx_each_heard)(void *arg, const char *id, double age, bool notice);
-void tmx_workers_each(struct tmx_workers *w, tmx_each_heard f, void *arg);
+typedef void (*tmx_each_suspect)(void *arg, const struct tmx_suspect *s);
+void tmx_workers_suspects(struct tmx_workers *w, tmx_each_suspect f, void *arg);
+void tmx_workers_peer_says(struct tmx_workers *w, const char *node, const struct tmx_suspect *s);
+struct tmx_reach { /* of the machines that this controller owns */
+  unsigned owned, reached;
+  double report_age; /* s since any worker's report came here; 1e9: never */
+};
+struct tmx_reach tmx_workers_reach(const struct tmx_workers *w);
+/* What its owner says of a machine; false: nothing is wrong, or the owner is not heard. */
+bool tmx_workers_suspect(const struct tmx_workers *w, const struct tmx_machine *m,
+                         struct tmx_suspect *out);
 
 /* src/user */
 struct tmx_users *tmx_users_new(struct tmx_ctl *c);
@@ -107,7 +136,5 @@
 bool tmx_peers_refused(const struct tmx_peers *p, const char *node);   /* seems down */
 bool tmx_peers_any(const struct tmx_peers *p);                         /* is any heard */
 double tmx_peers_state_age(const struct tmx_peers *p); /* s: the freshest state among those heard */
-/* the least age at which a peer heard the machine, by its heartbeat; 1e9: none did */
-double tmx_peers_heard(const struct tmx_peers *p, const char *machine, const char *only_node,
-                       bool *notice);
+bool tmx_peers_cut(const struct tmx_peers *p, const char *node); /* it says it reaches no workers */
 #endif
--- a/src/core/capacity.c
+++ b/src/core/capacity.c
@@ -13,9 +13,8 @@
 
 static bool suits(const struct tmx_spec *s, const struct tmx_type *t, int zone, bool spot,
                   const struct tmx_demand *d) {
-  (void)d;
   return (!spot || s->spot) && tmx_type_allowed(s, t->name) && s->cpus <= t->cpus &&
-         s->gpus <= t->gpus && s->mem <= t->mem && (zone >= 0 || !s->zone[0]);
+         s->gpus <= t->gpus && s->mem <= t->mem && (d->zone < 0 || zone == d->zone);
 }
 
 static uint32_t fits(const struct tmx_spec *s, double cpus, double gpus, double mem) {
@@ -29,12 +28,12 @@
 size_t tmx_capacity(const struct tmx_demand *d, size_t n_d, const struct tmx_offer *o, size_t n_o,
                     const struct tmx_coming *c, size_t n_c, double have, struct tmx_hire *out,
                     size_t max) {
-  size_t n_out = 0, n_bins = 0, cap = n_c + 512;
+  size_t n_out = 0, n_bins = 0, cap = n_c + TMX_HIRES_ROUND;
   struct bin *bins = calloc(cap, sizeof *bins);
   if (!bins) abort();
   for (size_t i = 0; i < n_c; i++)
-    bins[n_bins++] = (struct bin){c[i].type->cpus, c[i].type->gpus, c[i].type->mem,
-                                  c[i].type,       c[i].zone,       c[i].spot};
+    bins[n_bins++] =
+        (struct bin){c[i].cpus, c[i].gpus, c[i].mem, c[i].type, c[i].zone, c[i].spot};
   /* Work that the machines at hand clear within about the boot time needs no new ones. */
   double backlog = 0;
   for (size_t i = 0; i < n_d; i++)
--- a/src/core/capacity.h
+++ b/src/core/capacity.h
@@ -6,7 +6,7 @@
 struct tmx_demand { /* waiting tasks of one job that found no room */
   const struct tmx_spec *spec;
   uint32_t tasks;
-  double waited;
+  int zone; /* the only one that helps; -1: any */
 };
 struct tmx_offer { /* one type, zone and kind that may be rented now */
   const struct tmx_type *type;
@@ -14,10 +14,11 @@
   bool spot;
   double price;
 };
-struct tmx_coming { /* a machine that is rented and not up yet */
+struct tmx_coming { /* room of a machine that is up, or rented and on its way */
   const struct tmx_type *type;
   int zone;
   bool spot;
+  double cpus, gpus, mem;
 };
 struct tmx_hire {
   int offer;
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -1,3 +1,4 @@
+/* The greedy round after the affinity draft: see docs/design.md for what was kept. */
 #include "core/plan.h"
 
 #include <math.h>
@@ -5,6 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/model.h"
+
 #define EPS 1e-6
 
 uint32_t tmx_zone_cap(const struct tmx_spec *s, size_t zones) {
@@ -29,42 +32,138 @@
   return false;
 }
 
-/* Affinity alone, without room: may the job use this machine at all. */
-static bool eligible(const struct tmx_plan_job *j, const struct tmx_plan_machine *m,
-                     const struct tmx_plan_input *in) {
-  const struct tmx_spec *s = j->spec;
-  if (!m->usable || m->zone < 0 || (m->spot && !s->spot)) return false;
-  if (s->cpus > m->cpus + EPS || s->gpus > m->gpus + EPS || s->mem > m->mem + EPS) return false;
-  if (!tmx_type_allowed(s, m->type)) return false;
-  (void)in;
-  return true;
+struct cand { /* a machine that may take a task: the lower the better */
+  double v;
+  int m;
+};
+struct heap {
+  struct cand *c;
+  size_t n, cap;
+};
+struct set { /* the machines for one job, by zone */
+  bool built, none;
+  struct heap zone[TMX_ZONES_MAX];
+};
+struct shape { /* what found no room: nothing as large is tried again in this round */
+  const struct tmx_spec *s;
+  int what;
+};
+enum { OWN, ANY, SOON, VICTIMS, SETS };
+#define SHAPES 48
+#define COLD 10.0     /* added to the measure of a machine where a fetch would make it late */
+#define AVOIDED 100.0 /* ... where the job failed lately */
+
+struct mark { /* a task that this round stops */
+  struct pm *p;
+  size_t task;
+};
+struct round {
+  struct tmx_model *md;
+  const struct tmx_round *in;
+  struct tmx_plan_output *out;
+  struct tmx_usage usage[TMX_TEAMS_MAX];
+  size_t visits;
+  struct pm **undo;
+  size_t n_undo, cap_undo;
+  struct pj **undo_j;
+  size_t n_undo_j, cap_undo_j;
+  struct mark *marks;
+  size_t n_marks, cap_marks;
+  struct shape blocked[SHAPES];
+  size_t n_blocked;
+  int *stopping; /* machines with room on its way */
+  size_t n_stopping, cap_stopping;
+  struct set sets[SETS]; /* of the job at hand; their memory is kept */
+  uint32_t n_eligible, cap;
+};
+
+/* ------------------------------------------------------------ steps of the round, taken back */
+
+static void touch(struct round *r, struct pm *p) {
+  if (p->touched == r->md->round) return;
+  p->touched = r->md->round;
+  p->saved = (struct saved){p->r.ucpus, p->r.ugpus, p->r.umem,   p->r.scpus,
+                            p->r.sgpus, p->r.smem,  p->r.n_tasks};
+  r->undo = tmx_grow(r->undo, &r->cap_undo, r->n_undo + 1, sizeof *r->undo);
+  r->undo[r->n_undo++] = p;
+}
+
+static void touch_job(struct round *r, struct pj *j) {
+  if (j->touched == r->md->round) return;
+  j->touched = r->md->round;
+  memcpy(j->saved_zone, j->r.zone_live, sizeof j->saved_zone);
+  r->undo_j = tmx_grow(r->undo_j, &r->cap_undo_j, r->n_undo_j + 1, sizeof *r->undo_j);
+  r->undo_j[r->n_undo_j++] = j;
 }
 
-static bool avoided(const struct tmx_plan_job *j, const struct tmx_plan_machine *m) {
+static void mark(struct round *r, struct pm *p, size_t task) {
+  r->marks = tmx_grow(r->marks, &r->cap_marks, r->n_marks + 1, sizeof *r->marks);
+  r->marks[r->n_marks++] = (struct mark){p, task};
+  p->r.tasks[task].stopping = true;
+}
+
+static void take_back(struct round *r) {
+  for (size_t i = 0; i < r->n_marks; i++)
+    r->marks[i].p->r.tasks[r->marks[i].task].stopping = false;
+  for (size_t i = 0; i < r->n_undo; i++) {
+    struct pm *p = r->undo[i];
+    p->r.ucpus = p->saved.ucpus;
+    p->r.ugpus = p->saved.ugpus;
+    p->r.umem = p->saved.umem;
+    p->r.scpus = p->saved.scpus;
+    p->r.sgpus = p->saved.sgpus;
+    p->r.smem = p->saved.smem;
+    p->r.n_tasks = p->saved.n_tasks;
+  }
+  for (size_t i = 0; i < r->n_undo_j; i++)
+    memcpy(r->undo_j[i]->r.zone_live, r->undo_j[i]->saved_zone, sizeof r->undo_j[i]->saved_zone);
+}
+
+static struct tmx_op *emit(struct round *r, char op, const struct pj *j, uint32_t task,
+                           uint32_t attempt) {
+  struct tmx_plan_output *out = r->out;
+  out->ops = tmx_grow(out->ops, &out->cap, out->n_ops + 1, sizeof *out->ops);
+  struct tmx_op *o = &out->ops[out->n_ops++];
+  memset(o, 0, sizeof *o);
+  o->op = op;
+  o->task = task;
+  o->attempt = attempt;
+  memcpy(o->job, j->r.id, sizeof o->job);
+  return o;
+}
+
+/* ------------------------------------------------------------ what fits where */
+
+static bool group_suits(const struct group *g, const struct tmx_spec *s) {
+  return (!g->spot || s->spot) && s->cpus <= g->cpus + EPS && s->gpus <= g->gpus + EPS &&
+         s->mem <= g->mem + EPS && tmx_type_allowed(s, g->type);
+}
+
+static bool avoided(const struct pj *j, const struct pm *p) {
   for (int i = 0; i < 4; i++)
-    if (j->avoid[i][0] && !strcmp(j->avoid[i], m->id)) return true;
+    if (j->r.avoid[i][0] && !strcmp(j->r.avoid[i], p->r.id)) return true;
   return false;
 }
 
-static bool room(const struct tmx_plan_machine *m, const struct tmx_spec *s, bool soon) {
+static bool room(const struct pm *p, const struct tmx_spec *s, bool soon) {
   double k = soon ? 1 : 0;
-  return m->ucpus - k * m->scpus + s->cpus <= m->cpus + EPS &&
-         m->ugpus - k * m->sgpus + s->gpus <= m->gpus + EPS &&
-         m->umem - k * m->smem + s->mem <= m->mem + EPS;
+  return p->r.ucpus - k * p->r.scpus + s->cpus <= p->r.cpus + EPS &&
+         p->r.ugpus - k * p->r.sgpus + s->gpus <= p->r.gpus + EPS &&
+         p->r.umem - k * p->r.smem + s->mem <= p->r.mem + EPS;
 }
 
-/* The booked share of the most-asked resource; an image that must still be fetched counts as
- * room booked, the more of it the less time the job's class has to start (ours: the measure is
- * open in the design). */
 /* How long the image still takes to be there; one that is being fetched is not there yet. */
-static double fetch_time(const struct tmx_plan_machine *m, const struct tmx_spec *s) {
+static double fetch_time(const struct tmx_plan_machine *m, const struct tmx_spec *s, double now) {
   double whole = m->fetch > 0 ? s->image_gb / m->fetch : 0;
   for (size_t i = 0; i < m->n_images; i++)
-    if (!strcmp(m->images[i].name, s->image)) return fmax(0, whole - (m->now - m->images[i].since));
+    if (m->images[i].id == s->image_id) return fmax(0, whole - (now - m->images[i].since));
   return whole;
 }
 
-double tmx_booked_measure(const struct tmx_plan_machine *m, const struct tmx_spec *s) {
+/* The booked share of the most-asked resource; an image that must still be fetched counts as
+ * room booked, the more of it the less time the job's class has to start (ours: the measure is
+ * open in the design). */
+double tmx_booked_measure(const struct tmx_plan_machine *m, const struct tmx_spec *s, double now) {
   double ask[3] = {m->cpus > 0 ? s->cpus / m->cpus : 0, m->gpus > 0 ? s->gpus / m->gpus : 0,
                    m->mem > 0 ? s->mem / m->mem : 0};
   double used[3] = {m->cpus > 0 ? m->ucpus / m->cpus : 0, m->gpus > 0 ? m->ugpus / m->gpus : 0,
@@ -72,308 +171,457 @@
   int top = 0;
   for (int i = 1; i < 3; i++)
     if (ask[i] > ask[top]) top = i;
-  return used[top] + fmin(fetch_time(m, s) / s->patience_s, 3.0);
+  return used[top] + fmin(fetch_time(m, s, now) / s->patience_s, 3.0);
 }
 
-struct round {
-  struct tmx_plan_input *in;
-  struct tmx_plan_output *out;
-};
-
-static void emit(struct round *r, const struct tmx_op *o) {
-  struct tmx_plan_output *out = r->out;
-  if (out->n_ops == out->cap) {
-    out->cap = out->cap ? out->cap * 2 : 64;
-    out->ops = realloc(out->ops, out->cap * sizeof *out->ops);
-    if (!out->ops) abort();
-  }
-  out->ops[out->n_ops++] = *o;
+static double value(const struct round *r, const struct pj *j, const struct pm *p) {
+  const struct tmx_spec *s = j->r.spec;
+  double v = tmx_booked_measure(&p->r, s, r->in->now);
+  /* the fetch alone would use up the time that the class has to start */
+  if (fetch_time(&p->r, s, r->in->now) > s->patience_s * 0.6) v += COLD;
+  return avoided(j, p) ? v + AVOIDED : v;
 }
 
-static uint32_t live_on(const struct tmx_plan_job *j, int machine) {
+static uint32_t live_on(const struct pj *j, const struct pm *p) {
   uint32_t n = 0;
-  for (size_t i = 0; i < j->n_live; i++) n += j->live[i] == machine;
+  for (size_t i = 0; i < p->r.n_tasks; i++) n += p->r.tasks[i].job == j->r.slot;
   return n;
 }
 
-static bool zone_ok(const struct tmx_plan_job *j, int zone, const struct tmx_plan_input *in) {
-  const struct tmx_spec *s = j->spec;
-  if (j->zone_live[zone] >= tmx_zone_cap(s, in->n_zones)) return false;
+static bool zone_ok(const struct round *r, const struct pj *j, int zone) {
+  const struct tmx_spec *s = j->r.spec;
+  if (j->r.zone_live[zone] >= tmx_zone_cap(s, r->in->n_zones)) return false;
   if (s->one_zone)
-    for (size_t z = 0; z < in->n_zones; z++)
-      if ((int)z != zone && j->zone_live[z]) return false;
+    for (size_t z = 0; z < r->in->n_zones; z++)
+      if ((int)z != zone && j->r.zone_live[z]) return false;
   return true;
 }
 
-/* The fetch alone would use up the time that the class has to start. */
-static bool is_cold(const struct tmx_plan_machine *m, const struct tmx_spec *s) {
-  return fetch_time(m, s) > s->patience_s * 0.6;
-}
-
-/* part: only machines of this member; -1: any. Returns a machine index or -1. */
-static int pick(const struct round *r, const struct tmx_plan_job *j, int part, bool soon, bool warm,
-                uint32_t n_eligible) {
-  const struct tmx_plan_input *in = r->in;
-  uint32_t cap = tmx_machine_cap(j->spec, n_eligible);
-  int best = -1;
-  double best_m = 0;
-  for (int pass = 0; pass < 2 && best < 0; pass++) { /* machines it failed on come last */
-    for (size_t i = 0; i < in->n_machines; i++) {
-      const struct tmx_plan_machine *m = &in->machines[i];
-      if (part >= 0 && m->owner != part) continue;
-      if (!eligible(j, m, in) || !room(m, j->spec, soon) || !zone_ok(j, m->zone, in)) continue;
-      if (avoided(j, m) != (pass == 1)) continue;
-      if (j->spec->service && live_on(j, (int)i) >= cap) continue;
-      if (warm && is_cold(m, j->spec)) continue;
-      double v = tmx_booked_measure(m, j->spec);
-      /* a service's zones are filled evenly first */
-      if (j->spec->service) v += 4.0 * j->zone_live[m->zone];
-      if (best < 0 || v < best_m) {
-        best = (int)i;
-        best_m = v;
-      }
+static bool quota_ok(const struct round *r, const struct pj *j) {
+  if (j->r.team < 0) return false;
+  const struct tmx_team_conf *t = &r->in->teams[j->r.team];
+  const struct tmx_usage *u = &r->usage[j->r.team];
+  if (t->cpus_max > 0 && u->cpus + j->r.spec->cpus > t->cpus_max + EPS) return false;
+  if (t->gpus_max > 0 && u->gpus + j->r.spec->gpus > t->gpus_max + EPS) return false;
+  return true;
+}
+
+/* Services to people come first, then what teams are guaranteed, then the rest. */
+static int standing(const struct pj *j) {
+  return j->r.spec->priority == TMX_PRIO_PROD ? 2 : j->guaranteed;
+}
+
+/* Only work that also stands behind in the order of placing is stopped: anything else would be
+ * placed again in the very room that was made, and stopped again. Work that stands in no
+ * guarantee waits for room; stopping others for it would cost more than it gains. */
+static bool may_stop(const struct round *r, const struct pj *j, const struct tmx_plan_task *v) {
+  const struct pj *o = v->job >= 0 && (size_t)v->job < r->md->cap_j ? r->md->j[v->job] : NULL;
+  if (!o || v->stopping || standing(j) <= standing(o)) return false;
+  if (o->r.spec->priority < j->r.spec->priority) return true;
+  if (!j->guaranteed || o->r.team == j->r.team || o->r.team < 0 || o->r.spec->service) return false;
+  const struct tmx_team_conf *t = &r->in->teams[o->r.team];
+  return r->usage[o->r.team].cpus - o->r.spec->cpus >= t->cpus - EPS &&
+         r->usage[o->r.team].gpus - o->r.spec->gpus >= t->gpus - EPS;
+}
+
+static double lost_work(const struct round *r, const struct tmx_plan_task *t) {
+  const struct tmx_spec *s = r->md->j[t->job]->r.spec;
+  if (s->checkpoint_s > 0) return s->save_s + 1; /* it saves before it goes */
+  return r->in->now - t->lost_since;
+}
+
+/* Stops the cheapest tasks of one machine until the task fits. do_it: marks and emits them.
+ * Returns their cost; <0: it cannot be. */
+static double victims(struct round *r, const struct pj *j, struct pm *p, bool do_it) {
+  const struct tmx_spec *s = j->r.spec;
+  double c = p->r.cpus - p->r.ucpus + p->r.scpus, g = p->r.gpus - p->r.ugpus + p->r.sgpus,
+         e = p->r.mem - p->r.umem + p->r.smem, cost = 0;
+  size_t n = p->r.n_tasks, chosen = 0;
+  r->visits += n;
+  bool *taken = NULL;
+  while (c + EPS < s->cpus || g + EPS < s->gpus || e + EPS < s->mem) {
+    struct tmx_plan_task *best = NULL;
+    double best_lost = 0;
+    int best_prio = 0;
+    for (size_t k = 0; k < n; k++) {
+      struct tmx_plan_task *t = &p->r.tasks[k];
+      if ((taken && taken[k]) || !may_stop(r, j, t)) continue;
+      /* lower priority first, then the least lost work */
+      int prio = r->md->j[t->job]->r.spec->priority;
+      double lost = lost_work(r, t);
+      if (best && (prio > best_prio || (prio == best_prio && lost >= best_lost))) continue;
+      best = t;
+      best_lost = lost;
+      best_prio = prio;
+    }
+    if (!best) {
+      free(taken);
+      return -1;
+    }
+    if (!taken) taken = calloc(n, 1);
+    if (!taken) abort();
+    taken[best - p->r.tasks] = true;
+    chosen++;
+    const struct pj *o = r->md->j[best->job];
+    c += o->r.spec->cpus;
+    g += o->r.spec->gpus;
+    e += o->r.spec->mem;
+    cost += best_lost + 1 + 20.0 * best_prio;
+    if (do_it) {
+      emit(r, TMX_OP_STOP, o, best->task, best->attempt)->how =
+          o->r.spec->checkpoint_s > 0 && !s->service ? '2' : '1';
+      touch(r, p);
+      mark(r, p, (size_t)(best - p->r.tasks));
+      p->r.scpus += o->r.spec->cpus;
+      p->r.sgpus += o->r.spec->gpus;
+      p->r.smem += o->r.spec->mem;
     }
   }
-  return best;
+  free(taken);
+  return chosen ? cost : -1;
 }
 
-static bool quota_ok(const struct round *r, const struct tmx_plan_job *j) {
-  const struct tmx_plan_input *in = r->in;
-  if (j->team < 0) return false;
-  const struct tmx_team_conf *t = &in->teams[j->team];
-  const struct tmx_usage *u = &in->usage[j->team];
-  if (t->cpus_max > 0 && u->cpus + j->spec->cpus > t->cpus_max + EPS) return false;
-  if (t->gpus_max > 0 && u->gpus + j->spec->gpus > t->gpus_max + EPS) return false;
+/* ------------------------------------------------------------ candidates */
+
+static void sift_down(struct heap *h, size_t i) {
+  for (;;) {
+    size_t k = 2 * i + 1;
+    if (k >= h->n) return;
+    if (k + 1 < h->n && h->c[k + 1].v < h->c[k].v) k++;
+    if (h->c[i].v <= h->c[k].v) return;
+    struct cand t = h->c[i];
+    h->c[i] = h->c[k];
+    h->c[k] = t;
+    i = k;
+  }
+}
+
+static void add(struct heap *h, double v, int m) {
+  h->c = tmx_grow(h->c, &h->cap, h->n + 1, sizeof *h->c);
+  h->c[h->n++] = (struct cand){v, m};
+}
+
+/* May the job's next task go there; v: its value. */
+static bool judge(struct round *r, const struct pj *j, struct pm *p, int what, double *v) {
+  if (!p->r.usable || p->r.drain) return false;
+  if (what == OWN && p->r.owner != r->in->self) return false;
+  if (what != VICTIMS && !room(p, j->r.spec, what == SOON)) return false;
+  if (j->r.spec->service && live_on(j, p) >= r->cap) return false;
+  *v = value(r, j, p);
+  if (what == VICTIMS) {
+    if (*v >= AVOIDED) return false;
+    double cost = victims(r, j, p, false);
+    if (cost < 0) return false;
+    *v = cost / 1e6 + (*v >= COLD ? COLD : 0); /* below COLD: the cheapest, warm ones first */
+  }
   return true;
 }
 
-static void take(struct round *r, struct tmx_plan_job *j, int mi, bool real) {
-  struct tmx_plan_machine *m = &r->in->machines[mi];
-  m->ucpus += j->spec->cpus;
-  m->ugpus += j->spec->gpus;
-  m->umem += j->spec->mem;
-  if (!real) return; /* room held for it until the stopped tasks are gone */
-  r->in->usage[j->team].cpus += j->spec->cpus;
-  r->in->usage[j->team].gpus += j->spec->gpus;
-  j->zone_live[m->zone]++;
-  j->live[j->n_live++] = mi;
+static bool as_large(const struct tmx_spec *s, const struct tmx_spec *t) {
+  if (s->cpus + EPS < t->cpus || s->gpus + EPS < t->gpus || s->mem + EPS < t->mem) return false;
+  if (s->spot && !t->spot) return false;
+  if (strcmp(s->zone, t->zone) || s->n_types != t->n_types) return false;
+  return !s->n_types || !memcmp(s->types, t->types, sizeof s->types[0] * s->n_types);
 }
 
-/* Services to people come first, then what teams are guaranteed, then the rest. */
-static int standing(const struct tmx_plan_job *j) {
-  return j->spec->priority == TMX_PRIO_PROD ? 2 : j->guaranteed;
+static bool is_blocked(const struct round *r, const struct pj *j, int what) {
+  for (size_t i = 0; i < r->n_blocked; i++)
+    if (r->blocked[i].what == what && as_large(j->r.spec, r->blocked[i].s)) return true;
+  return false;
 }
 
-/* Only work that also stands behind in the order of placing is stopped: anything else would be
- * placed again in the very room that was made, and stopped again. Work that stands in no
- * guarantee waits for room; stopping others for it would cost more than it gains. */
-static bool may_stop(const struct round *r, const struct tmx_plan_job *j,
-                     const struct tmx_plan_running *v) {
-  const struct tmx_plan_input *in = r->in;
-  const struct tmx_plan_job *o = &in->jobs[v->job];
-  if (v->stopping || standing(j) <= standing(o)) return false;
-  if (o->spec->priority < j->spec->priority) return true;
-  if (!j->guaranteed || o->team == j->team || o->team < 0 || o->spec->service) return false;
-  const struct tmx_team_conf *t = &in->teams[o->team];
-  return in->usage[o->team].cpus - o->spec->cpus >= t->cpus - EPS &&
-         in->usage[o->team].gpus - o->spec->gpus >= t->gpus - EPS;
-}
-
-/* Stops the cheapest tasks of one machine so that the task fits; true if room is on its way. */
-static bool make_room(struct round *r, struct tmx_plan_job *j, bool warm, uint32_t n_eligible) {
-  struct tmx_plan_input *in = r->in;
-  const struct tmx_spec *s = j->spec;
-  int best = -1;
-  double best_cost = 0;
-  uint32_t cap = tmx_machine_cap(s, n_eligible);
-  for (int take_it = 0; take_it < 2; take_it++) {
-    for (size_t i = 0; i < in->n_machines; i++) {
-      if (take_it && (int)i != best) continue;
-      struct tmx_plan_machine *m = &in->machines[i];
-      if (!eligible(j, m, in) || !zone_ok(j, m->zone, in) || avoided(j, m)) continue;
-      if (s->service && live_on(j, (int)i) >= cap) continue;
-      if (warm && is_cold(m, s)) continue;
-      double c = m->cpus - m->ucpus + m->scpus, g = m->gpus - m->ugpus + m->sgpus,
-             e = m->mem - m->umem + m->smem, cost = 0;
-      bool chosen[256] = {false};
-      size_t base = 0;
-      while (c + EPS < s->cpus || g + EPS < s->gpus || e + EPS < s->mem) {
-        int v = -1;
-        size_t vi = 0;
-        for (size_t k = 0, n = 0; k < in->n_running && n < 256; k++) {
-          struct tmx_plan_running *t = &in->running[k];
-          if (t->machine != (int)i) continue;
-          size_t at = n++;
-          if (chosen[at] || !may_stop(r, j, t)) continue;
-          /* lower priority first, then the least lost work */
-          if (v >= 0) {
-            const struct tmx_plan_running *b = &in->running[v];
-            int pa = in->jobs[t->job].spec->priority, pb = in->jobs[b->job].spec->priority;
-            if (pa > pb || (pa == pb && t->lost >= b->lost)) continue;
-          }
-          v = (int)k;
-          vi = at;
-        }
-        if (v < 0) break;
-        chosen[vi] = true;
-        base++;
-        struct tmx_plan_running *t = &in->running[v];
-        const struct tmx_spec *o = in->jobs[t->job].spec;
-        c += o->cpus;
-        g += o->gpus;
-        e += o->mem;
-        cost += t->lost + 1 + 20.0 * o->priority;
-        if (take_it) {
-          struct tmx_op op = {.op = TMX_OP_STOP,
-                              .task = t->task,
-                              .attempt = t->attempt,
-                              .how = o->checkpoint_s > 0 && !s->service ? '2' : '1'};
-          snprintf(op.job, sizeof op.job, "%s", in->jobs[t->job].id);
-          emit(r, &op);
-          t->stopping = true;
-          m->scpus += o->cpus;
-          m->sgpus += o->gpus;
-          m->smem += o->mem;
-        }
-      }
-      bool fits = c + EPS >= s->cpus && g + EPS >= s->gpus && e + EPS >= s->mem;
-      if (!take_it && fits && base && (best < 0 || cost < best_cost)) {
-        best = (int)i;
-        best_cost = cost;
+static void build(struct round *r, const struct pj *j, int what) {
+  struct set *set = &r->sets[what];
+  const struct tmx_spec *s = j->r.spec;
+  size_t n = 0;
+  set->built = true;
+  for (size_t z = 0; z < TMX_ZONES_MAX; z++) set->zone[z].n = 0;
+  /* what may be stopped depends on team and standing: not remembered by shape */
+  set->none = what != VICTIMS && is_blocked(r, j, what);
+  if (set->none) return;
+  for (size_t k = 0; k < r->md->n_groups; k++) {
+    const struct group *g = &r->md->groups[k];
+    if (what == SOON || !g->n_usable || !group_suits(g, s)) continue;
+    if (j->r.zone >= 0 && g->zone != j->r.zone) continue;
+    r->visits += g->n;
+    for (size_t i = 0; i < g->n; i++) {
+      double v;
+      if (!judge(r, j, r->md->m[g->slots[i]], what, &v)) continue;
+      add(&set->zone[g->zone], v, g->slots[i]);
+      n++;
+    }
+  }
+  for (size_t i = 0; what == SOON && i < r->n_stopping; i++) {
+    struct pm *p = r->md->m[r->stopping[i]];
+    double v;
+    r->visits++;
+    if (p->group < 0 || !group_suits(&r->md->groups[p->group], s)) continue;
+    if ((j->r.zone >= 0 && p->r.zone != j->r.zone) || !judge(r, j, p, what, &v)) continue;
+    add(&set->zone[p->r.zone], v, p->r.slot);
+    n++;
+  }
+  for (size_t z = 0; z < r->in->n_zones; z++)
+    for (size_t i = set->zone[z].n / 2; i-- > 0;) sift_down(&set->zone[z], i);
+  set->none = !n;
+  /* for services the job's own replicas may be in the way: that says nothing of others */
+  if (!n && !s->service && what != VICTIMS && r->n_blocked < SHAPES)
+    r->blocked[r->n_blocked++] = (struct shape){s, what};
+}
+
+/* The best machine for the job's next task; -1: none. warm: only where its image lies. */
+static int best(struct round *r, struct pj *j, int what, bool warm) {
+  struct set *set = &r->sets[what];
+  if (!set->built) build(r, j, what);
+  if (set->none) return -1;
+  int m = -1;
+  double top = 0;
+  for (size_t z = 0; z < r->in->n_zones; z++) {
+    struct heap *h = &set->zone[z];
+    if (!h->n || !zone_ok(r, j, (int)z)) continue;
+    while (h->n) { /* what the round did since may have changed the first ones */
+      struct pm *p = r->md->m[h->c[0].m];
+      double v;
+      r->visits++;
+      if (!judge(r, j, p, what, &v)) {
+        h->c[0] = h->c[--h->n];
+        sift_down(h, 0);
+      } else if (v > h->c[0].v + EPS) {
+        h->c[0].v = v;
+        sift_down(h, 0);
+      } else {
+        break;
       }
     }
-    if (best < 0) return false;
+    if (!h->n || (warm && h->c[0].v >= COLD)) continue;
+    /* a service's zones are filled evenly first */
+    double v = h->c[0].v + (j->r.spec->service ? 4.0 * j->r.zone_live[z] : 0);
+    if (m < 0 || v < top) {
+      m = h->c[0].m;
+      top = v;
+    }
   }
-  take(r, j, best, false);
+  return m;
+}
+
+/* real: placed; else room is held for it until the stopped tasks are gone */
+static void take(struct round *r, struct pj *j, int m, bool real) {
+  struct pm *p = r->md->m[m];
+  const struct tmx_spec *s = j->r.spec;
+  touch(r, p);
+  p->r.ucpus += s->cpus;
+  p->r.ugpus += s->gpus;
+  p->r.umem += s->mem;
+  p->r.tasks = tmx_grow(p->r.tasks, &p->cap_tasks, p->r.n_tasks + 1, sizeof *p->r.tasks);
+  p->r.tasks[p->r.n_tasks++] = (struct tmx_plan_task){.job = j->r.slot, .stopping = true};
+  touch_job(r, j);
+  j->r.zone_live[p->r.zone]++;
+  if (!real) return;
+  r->usage[j->r.team].cpus += s->cpus;
+  r->usage[j->r.team].gpus += s->gpus;
+}
+
+/* ------------------------------------------------------------ one job */
+
+static uint32_t eligible(const struct round *r, const struct tmx_spec *s) {
+  uint32_t n = 0;
+  for (size_t k = 0; k < r->md->n_groups; k++)
+    if (group_suits(&r->md->groups[k], s)) n += r->md->groups[k].n_usable;
+  return n;
+}
+
+static void begin_job(struct round *r, const struct pj *j) {
+  for (int i = 0; i < SETS; i++) r->sets[i].built = r->sets[i].none = false;
+  r->n_eligible = eligible(r, j->r.spec);
+  r->cap = tmx_machine_cap(j->r.spec, r->n_eligible);
+}
+
+/* The leader stops others for it; the room is held until they are gone. */
+static bool make_room(struct round *r, struct pj *j, bool warm) {
+  if (!r->in->leading || !standing(j)) return false;
+  int m = best(r, j, VICTIMS, warm);
+  if (m < 0 || victims(r, j, r->md->m[m], true) < 0) return false;
+  take(r, j, m, false);
+  return true;
+}
+
+static bool hold_soon(struct round *r, struct pj *j, bool warm) {
+  int m = best(r, j, SOON, warm);
+  if (m < 0) return false;
+  take(r, j, m, false);
   return true;
 }
 
+/* Places up to max of the job's waiting tasks; returns how many were placed. */
+static uint32_t place(struct round *r, struct pj *j, uint32_t max) {
+  const struct tmx_round *in = r->in;
+  bool mine = j->r.planner == in->self;
+  bool grace = in->now - j->r.stuck_since <= in->grace;
+  uint32_t placed = 0;
+  if (j->next_wait >= j->r.n_waits || j->r.team < 0 || j->r.retry_at > in->now) return 0;
+  if (!mine && (!in->leading || grace)) return 0; /* its own controller goes first */
+  begin_job(r, j);
+  while (j->next_wait < j->r.n_waits && placed < max) {
+    if (r->out->n_ops >= in->max_ops || r->visits > TMX_PLAN_VISITS) {
+      r->out->cut = true;
+      break;
+    }
+    if (!quota_ok(r, j)) return placed; /* waits for its own team: more machines would not help */
+    int m = mine ? best(r, j, OWN, true) : -1;
+    /* too large for its part: the leader looks in every part */
+    if (m < 0 && in->leading) m = best(r, j, ANY, true);
+    if (m < 0 && standing(j) == 2) {
+      /* Room is only where a fetch would make it late: room where the image lies comes first. */
+      if (in->leading && (hold_soon(r, j, true) || make_room(r, j, true))) {
+        j->next_wait++;
+        r->out->unplaced++;
+        continue;
+      }
+      if (!in->leading && grace) break;
+    }
+    if (m < 0 && mine) m = best(r, j, OWN, false);
+    if (m < 0 && in->leading) m = best(r, j, ANY, false);
+    if (m >= 0) {
+      struct tmx_plan_wait *w = &j->r.waits[j->next_wait++];
+      struct tmx_op *o = emit(r, TMX_OP_PLACE, j, w->task, w->attempt);
+      memcpy(o->machine, r->md->m[m]->r.id, sizeof o->machine);
+      o->cap = r->cap;
+      take(r, j, m, true);
+      placed++;
+      continue;
+    }
+    if (!in->leading || (!hold_soon(r, j, false) && !make_room(r, j, false))) break;
+    j->next_wait++;
+    r->out->unplaced++;
+  }
+  if (placed < max) r->out->unplaced += (uint32_t)(j->r.n_waits - j->next_wait);
+  return placed;
+}
+
+/* ------------------------------------------------------------ the order */
+
+/* The place of an array in the order, lower first. What can still meet an aim comes before what
+ * cannot, the least remaining work first, since that brings the most jobs home in time. */
+static double order_of(const struct tmx_round *in, const struct tmx_plan_job *j) {
+  const struct tmx_spec *s = j->spec;
+  double waited = in->wall - j->submitted, run = fmax(j->run_s, 1);
+  uint32_t left = s->tasks - j->n_done, waiting = left - j->n_placed;
+  double work = (waiting + 0.5 * j->n_placed) * fmax(s->cpus, 0.1) * run;
+  return waited + run > j->aim_s ? 1e9 + work : work;
+}
+
+static int by_submission(const void *a, const void *b) {
+  const struct pj *x = *(struct pj *const *)a, *y = *(struct pj *const *)b;
+  if (x->r.submitted != y->r.submitted) return x->r.submitted < y->r.submitted ? -1 : 1;
+  return strcmp(x->r.id, y->r.id);
+}
+
 static int by_rank(const void *a, const void *b) {
-  const struct tmx_plan_job *x = *(struct tmx_plan_job *const *)a,
-                            *y = *(struct tmx_plan_job *const *)b;
+  const struct pj *x = *(struct pj *const *)a, *y = *(struct pj *const *)b;
   int px = standing(x), py = standing(y);
   if (px != py) return py - px;
-  if (x->spec->priority != y->spec->priority) return y->spec->priority - x->spec->priority;
+  if (x->r.spec->priority != y->r.spec->priority) return y->r.spec->priority - x->r.spec->priority;
   if (x->order != y->order) return x->order < y->order ? -1 : 1;
-  return strcmp(x->id, y->id);
+  return strcmp(x->r.id, y->r.id);
 }
 
-#define MOVES_A_ROUND 2 /* replicas down at the same time because machines are returned */
-
-/* Replicas leave a machine that is to be returned, one by one, and only for room that is free
+/* Replicas leave a machine that is to be returned, a few at a time, and only for room that is free
  * now where their image lies. */
 static void move_services(struct round *r) {
-  struct tmx_plan_input *in = r->in;
-  int moves = 0;
-  for (size_t i = 0; i < in->n_running; i++) {
-    struct tmx_plan_running *v = &in->running[i];
-    struct tmx_plan_job *j = &in->jobs[v->job];
-    if (in->machines[v->machine].drain && j->spec->service && v->stopping) moves++;
-  }
-  for (size_t i = 0; i < in->n_running && moves < MOVES_A_ROUND; i++) {
-    struct tmx_plan_running *v = &in->running[i];
-    struct tmx_plan_job *j = &in->jobs[v->job];
-    struct tmx_plan_machine *m = &in->machines[v->machine];
-    if (!m->drain || !j->spec->service || v->stopping || m->zone < 0) continue;
-    uint32_t n_eligible = 0;
-    for (size_t k = 0; k < in->n_machines; k++) n_eligible += eligible(j, &in->machines[k], in);
-    j->zone_live[m->zone]--;
-    int to = pick(r, j, -1, false, true, n_eligible);
-    j->zone_live[m->zone]++;
-    if (to < 0) continue;
-    take(r, j, to, false);
-    struct tmx_op op = {.op = TMX_OP_STOP, .task = v->task, .attempt = v->attempt, .how = '1'};
-    snprintf(op.job, sizeof op.job, "%s", j->id);
-    emit(r, &op);
-    moves++;
+  struct tmx_model *md = r->md;
+  size_t moves = 0, replicas = 0;
+  for (int pass = 0; pass < 2; pass++) {
+    for (size_t i = 0; i < md->cap_m; i++) {
+      struct pm *p = md->m[i];
+      if (!p) continue;
+      size_t n = p->r.n_tasks;
+      for (size_t k = 0; k < n; k++) {
+        struct tmx_plan_task *t = &p->r.tasks[k];
+        struct pj *j = t->job >= 0 ? md->j[t->job] : NULL;
+        if (!j || !j->r.spec->service) continue;
+        replicas += pass == 0;
+        if (!p->r.drain) continue;
+        if (pass == 0) moves += t->stopping;
+        if (pass == 0 || t->stopping || p->r.zone < 0 || !j->r.open) continue;
+        if (moves >= TMX_MOVES_LEAST + (size_t)(TMX_MOVES_SHARE * (double)replicas)) return;
+        begin_job(r, j);
+        touch_job(r, j);
+        j->r.zone_live[p->r.zone]--;
+        int to = best(r, j, ANY, true);
+        j->r.zone_live[p->r.zone]++;
+        if (to < 0) continue;
+        take(r, j, to, false);
+        t = &p->r.tasks[k];
+        emit(r, TMX_OP_STOP, j, t->task, t->attempt)->how = '1';
+        moves++;
+      }
+    }
   }
 }
 
-void tmx_plan(struct tmx_plan_input *in, struct tmx_plan_output *out) {
-  struct round r = {.in = in, .out = out};
+void tmx_plan(struct tmx_model *md, const struct tmx_round *in, struct tmx_plan_output *out) {
+  struct round r = {.md = md, .in = in, .out = out};
+  struct tmx_usage asked[TMX_TEAMS_MAX] = {{0, 0}};
+  size_t n = md->n_open;
   memset(out, 0, sizeof *out);
-  out->head = in->head;
-  out->rev = in->rev;
-  struct tmx_plan_job **order = calloc(in->n_jobs + 1, sizeof *order);
-  if (!order) abort();
-  for (size_t i = 0; i < in->n_jobs; i++) order[i] = &in->jobs[i];
-  qsort(order, in->n_jobs, sizeof *order, by_rank);
-  for (size_t i = 0; i < in->n_jobs; i++) {
-    struct tmx_plan_job *j = order[i];
-    if (!j->n_waits || j->team < 0) continue;
-    uint32_t n_eligible = 0;
-    for (size_t m = 0; m < in->n_machines; m++) n_eligible += eligible(j, &in->machines[m], in);
-    bool no_room = false;
-    for (size_t w = 0; w < j->n_waits; w++) {
-      if (no_room || out->n_ops >= in->max_ops) {
-        out->unplaced += (uint32_t)(j->n_waits - w);
-        break;
-      }
-      if (!quota_ok(&r, j)) break; /* waits for its own team, more machines would not help */
-      bool mine = j->planner == in->self, grace = j->waited <= in->grace;
-      int m = pick(&r, j, j->planner, false, true, n_eligible);
-      if (m < 0) {
-        /* too large for its part: the leader looks in every part */
-        m = pick(&r, j, -1, false, true, n_eligible);
-        if (m >= 0) mine = in->leading;
-      }
-      if (m < 0 && standing(j) == 2) {
-        /* Room is only where a fetch would make it late: room where the image lies comes first. */
-        int soon = pick(&r, j, -1, true, true, n_eligible);
-        if (soon >= 0) {
-          take(&r, j, soon, false);
-          out->unplaced++;
-          continue;
-        }
-        if (in->leading && make_room(&r, j, true, n_eligible)) {
-          out->unplaced++;
-          continue;
-        }
-        if (!in->leading && grace) {
-          out->unplaced += (uint32_t)(j->n_waits - w);
-          break;
-        }
-      }
-      if (m < 0) m = pick(&r, j, j->planner, false, false, n_eligible);
-      if (m < 0) {
-        m = pick(&r, j, -1, false, false, n_eligible);
-        mine = in->leading;
-      } else if (!mine && in->leading && !grace) {
-        mine = true; /* its own controller does not get to it */
-      }
-      if (m >= 0) {
-        if (mine) {
-          struct tmx_op op = {
-              .op = TMX_OP_PLACE, .task = j->waits[w].task, .attempt = j->waits[w].attempt};
-          snprintf(op.job, sizeof op.job, "%s", j->id);
-          snprintf(op.machine, sizeof op.machine, "%s", in->machines[m].id);
-          emit(&r, &op);
-        }
-        take(&r, j, m, true); /* also room that another controller is about to use */
-        continue;
-      }
-      int soon = pick(&r, j, -1, true, false, n_eligible);
-      if (soon >= 0) {
-        take(&r, j, soon, false);
-        out->unplaced++;
-        continue;
-      }
-      out->unplaced++;
-      if (!in->leading || !make_room(&r, j, false, n_eligible)) no_room = true;
+  memcpy(r.usage, in->usage, sizeof r.usage);
+  md->round++;
+  for (size_t i = 0; i < md->cap_m; i++)
+    if (md->m[i] && md->m[i]->r.scpus + md->m[i]->r.smem > EPS) {
+      r.stopping = tmx_grow(r.stopping, &r.cap_stopping, r.n_stopping + 1, sizeof *r.stopping);
+      r.stopping[r.n_stopping++] = (int)i;
     }
+  /* a guarantee covers the team's earliest unfinished jobs */
+  struct pj **order = calloc(n + 1, sizeof *order);
+  if (!order) abort();
+  memcpy(order, md->open, n * sizeof *order);
+  qsort(order, n, sizeof *order, by_submission);
+  for (size_t i = 0; i < n; i++) {
+    struct pj *j = order[i];
+    const struct tmx_spec *s = j->r.spec;
+    j->next_wait = 0;
+    j->order = order_of(in, &j->r);
+    j->guaranteed = false;
+    if (j->r.team < 0) continue;
+    const struct tmx_team_conf *t = &in->teams[j->r.team];
+    struct tmx_usage *u = &asked[j->r.team];
+    uint32_t left = s->tasks - j->r.n_done;
+    u->cpus += left * s->cpus;
+    u->gpus += left * s->gpus;
+    j->guaranteed = t->cpus > 0 && u->cpus <= t->cpus + EPS && u->gpus <= t->gpus + EPS;
   }
-  if (in->leading && !out->unplaced) move_services(&r);
-  free(order);
-}
-
-void tmx_plan_input_free(struct tmx_plan_input *in) {
-  for (size_t i = 0; i < in->n_jobs; i++) {
-    free(in->jobs[i].waits);
-    free(in->jobs[i].live);
-    free((void *)in->jobs[i].spec);
+  struct pj **oldest = calloc(n + 1, sizeof *oldest);
+  if (!oldest) abort();
+  memcpy(oldest, order, n * sizeof *oldest);
+  qsort(order, n, sizeof *order, by_rank);
+  size_t i = 0;
+  for (; i < n && standing(order[i]) == 2; i++) place(&r, order[i], UINT32_MAX);
+  /* A bounded wait inside the order: a job that has waited long without a start gets one task, and a
+   * share of the room goes to the jobs that are oldest, however large they are. */
+  uint32_t lane = 0;
+  for (size_t k = 0; k < n; k++) {
+    struct pj *j = oldest[k];
+    double waited = in->wall - j->r.submitted;
+    if (waited < TMX_BEGIN_S || standing(j) == 2) continue;
+    if (!j->r.n_done && !j->r.n_placed) place(&r, j, 1);
+  }
+  for (size_t k = 0; k < n && md->lane_credit >= 1; k++) {
+    struct pj *j = oldest[k];
+    if (in->wall - j->r.submitted < TMX_BEGIN_S || standing(j) == 2) continue;
+    uint32_t got = place(&r, j, (uint32_t)md->lane_credit);
+    md->lane_credit -= got;
+    lane += got;
   }
-  free(in->jobs);
-  free(in->machines);
-  free(in->running);
-  free(in);
+  uint32_t rest = 0;
+  for (; i < n; i++) rest += place(&r, order[i], UINT32_MAX);
+  md->lane_credit = fmin(md->lane_credit + TMX_LANE_SHARE * (rest + lane), TMX_PLAN_TASKS);
+  if (in->leading && !out->unplaced && !out->cut) move_services(&r);
+  take_back(&r);
+  for (int k = 0; k < SETS; k++)
+    for (size_t z = 0; z < TMX_ZONES_MAX; z++) free(r.sets[k].zone[z].c);
+  free(r.undo);
+  free(r.undo_j);
+  free(r.marks);
+  free(r.stopping);
+  free(order);
+  free(oldest);
 }
--- a/src/core/plan.h
+++ b/src/core/plan.h
@@ -1,75 +1,92 @@
-/* The greedy round: pure functions over a copy of what the round needs. */
+/* The greedy round: pure. The planner keeps its own tables of machines and jobs, fed with what
+ * changed since the last round; a round works on them and takes its own steps back at its end,
+ * since only what is committed comes back in the next feed. */
 #ifndef TMX_PLAN_H
 #define TMX_PLAN_H
 #include "state/replica.h"
 
-struct tmx_plan_machine {
+struct tmx_plan_task { /* placed on a machine */
+  int job;             /* slot */
+  uint32_t task, attempt;
+  double lost_since; /* stopping it loses the work since then; see spec for those that save */
+  bool stopping;
+};
+struct tmx_plan_machine { /* one machine as it stands, by its slot */
+  int slot;
   char id[TMX_ID_MAX], type[TMX_ID_MAX];
   int zone;
-  bool spot, usable;         /* usable: heard lately, not draining, not faulty, no notice */
+  bool spot, usable;         /* usable: heard and reached lately, not faulty, no notice */
   bool drain;                /* to be returned: its services move */
   int owner;                 /* member index */
   double cpus, gpus, mem;    /* its size */
   double ucpus, ugpus, umem; /* booked */
   double scpus, sgpus, smem; /* of that, being stopped: free soon */
   double fetch;              /* GB/s */
-  double now;                /* of the clock that images' `since` is on */
   struct tmx_image images[TMX_IMAGES_KEPT];
   size_t n_images;
-};
-struct tmx_plan_running { /* a placed task, for stopping */
-  int machine, job;
-  uint32_t task, attempt;
-  double lost; /* s of work that stopping it loses */
-  bool stopping;
+  struct tmx_plan_task *tasks; /* taken over by the planner */
+  size_t n_tasks;
 };
 struct tmx_plan_wait {
   uint32_t task, attempt; /* the attempt to be made */
 };
-struct tmx_plan_job {
+struct tmx_plan_job { /* one job as it stands, by its slot */
+  int slot;
   char id[TMX_ID_MAX];
-  const struct tmx_spec *spec; /* owned by the input */
-  int team, planner;           /* member index */
-  double waited;               /* s since it was seen here */
-  double order;                /* lower first, within its rank */
-  bool guaranteed;             /* fits its team's guarantee with the team's earlier jobs */
-  struct tmx_plan_wait *waits;
+  struct tmx_spec *spec;   /* taken over; NULL: as before */
+  int team, planner;       /* member index */
+  int zone;                /* the only one allowed; -1: any */
+  double submitted;        /* time of day, s */
+  double stuck_since;      /* steady clock, s: no task of it was placed since; 0: none waits */
+  double retry_at;         /* steady clock, s: not before */
+  double aim_s, run_s;     /* when it should be done; how long a task is expected to run */
+  uint32_t n_done, n_placed;
+  bool open;               /* else only its placed tasks count */
+  struct tmx_plan_wait *waits; /* the first of those that wait; taken over */
   size_t n_waits;
-  int *live; /* machine index of each placed task; -1: a machine not known here */
-  size_t n_live;
   uint32_t zone_live[TMX_ZONES_MAX];
   char avoid[4][TMX_ID_MAX];
 };
-struct tmx_plan_input {
-  uint64_t head, rev;
-  int self;
-  bool leading;
-  size_t n_zones;
-  double grace;
+struct tmx_feed { /* what changed, the latest state of each; gone ones first */
+  bool reset;
+  int *gone;
+  size_t n_gone, cap_gone;
   struct tmx_plan_machine *machines;
-  size_t n_machines;
+  size_t n_machines, cap_machines;
   struct tmx_plan_job *jobs;
-  size_t n_jobs;
-  struct tmx_plan_running *running;
-  size_t n_running;
+  size_t n_jobs, cap_jobs;
+};
+struct tmx_round { /* what else a round depends on */
+  double now, wall;
+  int self; /* member index */
+  bool leading;
+  size_t n_zones;
+  double grace; /* s: a job's own controller goes first this long */
   struct tmx_usage usage[TMX_TEAMS_MAX];
   struct tmx_team_conf teams[TMX_TEAMS_MAX];
   size_t n_teams, max_ops;
 };
 struct tmx_plan_output {
-  uint64_t head, rev;
   struct tmx_op *ops;
   size_t n_ops, cap;
-  /* what found no room, for renting: the jobs' waiting tasks */
-  uint32_t unplaced;
+  uint32_t unplaced; /* tasks that found no room, or were not looked at */
+  bool cut;          /* the round's bound was reached: the next one is due at once */
 };
-void tmx_plan(struct tmx_plan_input *in, struct tmx_plan_output *out);
-void tmx_plan_input_free(struct tmx_plan_input *in);
 
-/* the caps, apart for the tests */
+struct tmx_model;
+struct tmx_model *tmx_model_new(void);
+void tmx_model_free(struct tmx_model *md);
+void tmx_model_feed(struct tmx_model *md, struct tmx_feed *f); /* empties the feed */
+void tmx_feed_clear(struct tmx_feed *f);
+struct tmx_plan_machine *tmx_feed_machine(struct tmx_feed *f); /* a zeroed record to be filled */
+struct tmx_plan_job *tmx_feed_job(struct tmx_feed *f);
+void tmx_feed_gone(struct tmx_feed *f, int slot);
+void tmx_plan(struct tmx_model *md, const struct tmx_round *in, struct tmx_plan_output *out);
+
+/* the caps, apart for the tests and for the check before a commit */
 uint32_t tmx_zone_cap(const struct tmx_spec *s, size_t zones);
 uint32_t tmx_machine_cap(const struct tmx_spec *s, uint32_t eligible);
 /* may this kind of machine ever run the job */
 bool tmx_type_allowed(const struct tmx_spec *s, const char *type);
-double tmx_booked_measure(const struct tmx_plan_machine *m, const struct tmx_spec *s);
+double tmx_booked_measure(const struct tmx_plan_machine *m, const struct tmx_spec *s, double now);
 #endif
--- a/src/peer/beat.x
+++ b/src/peer/beat.x
@@ -1,11 +1,13 @@
 /* What controllers tell one another, over TCP, one record a message: a length of four bytes,
  * then this. Advice only: nothing here decides what the rules depend on. */
 const TMX_BEAT_NAME = 64;
-const TMX_BEAT_MACHINES = 4096;
+const TMX_BEAT_MACHINES = 2048;
 
-struct tmx_heard {
+struct tmx_beat_suspect {    /* a machine of the sender's with which something is wrong */
   string id<TMX_BEAT_NAME>;
-  unsigned int age_ms;       /* since its last report, at the sender */
+  unsigned int silence_ms;   /* since its last sign of life, at the sender */
+  unsigned int lost;         /* probes in a row */
+  unsigned int unreached_ms; /* nothing has shown that it hears the sender; 0: it does */
   bool notice;               /* the cloud is about to take it */
 };
 
@@ -13,5 +15,6 @@
   string node<TMX_BEAT_NAME>;
   unsigned hyper revision;   /* of the sender's replica */
   unsigned int state_age_ms; /* since state was last confirmed */
-  tmx_heard heard<TMX_BEAT_MACHINES>;
+  bool no_workers;           /* the sender reaches hardly any of its machines */
+  tmx_beat_suspect suspects<TMX_BEAT_MACHINES>;
 };
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -1,8 +1,9 @@
-/* Heartbeats between controllers, XDR over TCP: who is alive, how far its state is, which
- * machines it hears. Advice only. Each controller sends on connections that it opened and
+/* Heartbeats between controllers, XDR over TCP: who is alive, how far its state is, which of its
+ * machines are in doubt. Advice only. Each controller sends on connections that it opened and
  * listens on those that were opened to it. */
 #include <arpa/inet.h>
 #include <errno.h>
+#include <math.h>
 #include <rpc/rpc.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
@@ -18,11 +19,6 @@
 
 #define BEAT_BYTES_MAX (256u << 10)
 
-struct heard {
-  char id[TMX_ID_MAX];
-  double age; /* at the time of the beat */
-  bool notice;
-};
 struct peer {
   struct tmx_peers *p;
   char name[TMX_NAME_MAX];
@@ -37,8 +33,7 @@
   /* from its beats */
   double beat_at;
   double state_age;
-  struct heard *heard;
-  size_t n_heard;
+  bool no_workers;
 };
 struct incoming {
   struct tmx_peers *p;
@@ -78,15 +73,15 @@
   q->refusals = 0;
   q->state_age = b->state_age_ms / 1000.0;
   if (b->revision > p->c->rep.rev) tmx_link_behind(p->c->link);
-  free(q->heard);
-  q->n_heard = b->heard.heard_len;
-  q->heard = calloc(q->n_heard + 1, sizeof *q->heard);
-  if (!q->heard) abort();
-  for (size_t i = 0; i < q->n_heard; i++) {
-    const tmx_heard *h = &b->heard.heard_val[i];
-    snprintf(q->heard[i].id, TMX_ID_MAX, "%s", h->id);
-    q->heard[i].age = h->age_ms / 1000.0;
-    q->heard[i].notice = h->notice;
+  q->no_workers = b->no_workers;
+  for (u_int i = 0; i < b->suspects.suspects_len; i++) {
+    const tmx_beat_suspect *d = &b->suspects.suspects_val[i];
+    struct tmx_suspect x = {.silence = d->silence_ms / 1000.0,
+                            .lost = (int)d->lost,
+                            .unreached = d->unreached_ms / 1000.0,
+                            .notice = d->notice};
+    snprintf(x.id, sizeof x.id, "%s", d->id);
+    tmx_workers_peer_says(p->c->workers, q->name, &x);
   }
 }
 
@@ -208,33 +203,38 @@
 }
 
 struct gather {
-  tmx_heard *v;
+  tmx_beat_suspect *v;
+  char (*ids)[TMX_ID_MAX];
   size_t n, cap;
 };
-static void gather_one(void *arg, const char *id, double age, bool notice) {
+static void gather_one(void *arg, const struct tmx_suspect *d) {
   struct gather *g = arg;
-  if (g->n == TMX_BEAT_MACHINES || age > 120) return;
+  if (g->n == TMX_BEAT_MACHINES) return;
   if (g->n == g->cap) {
     g->cap = g->cap ? g->cap * 2 : 64;
     g->v = realloc(g->v, g->cap * sizeof *g->v);
-    if (!g->v) abort();
+    g->ids = realloc(g->ids, g->cap * sizeof *g->ids);
+    if (!g->v || !g->ids) abort();
   }
-  tmx_heard *h = &g->v[g->n++];
-  memset(h, 0, sizeof *h);
-  h->id = (char *)id;
-  h->age_ms = (u_int)(age * 1000);
-  h->notice = notice;
+  memcpy(g->ids[g->n], d->id, TMX_ID_MAX);
+  g->v[g->n++] = (tmx_beat_suspect){
+      .silence_ms = d->silence > 1e6 ? UINT32_MAX : (u_int)(d->silence * 1000),
+      .lost = d->lost > 0 ? (u_int)d->lost : 0,
+      .unreached_ms = (u_int)(fmin(d->unreached, 1e6) * 1000),
+      .notice = d->notice};
 }
 
 static void send_beats(struct tmx_peers *p) {
   struct tmx_ctl *c = p->c;
   struct gather g = {0};
-  tmx_workers_each(c->workers, gather_one, &g);
+  tmx_workers_suspects(c->workers, gather_one, &g);
+  for (size_t i = 0; i < g.n; i++) g.v[i].id = g.ids[i];
   double age = tmx_now() - tmx_link_confirmed(c->link);
   tmx_beat b = {.node = c->set.node,
                 .revision = c->rep.rev,
                 .state_age_ms = age > 1e6 ? UINT32_MAX : (u_int)(age * 1000),
-                .heard = {.heard_len = (u_int)g.n, .heard_val = g.v}};
+                .no_workers = tmx_ctl_no_workers(c),
+                .suspects = {.suspects_len = (u_int)g.n, .suspects_val = g.v}};
   u_int size = (u_int)xdr_sizeof((xdrproc_t)xdr_tmx_beat, &b);
   char *buf = malloc(size + 4);
   if (!buf) abort();
@@ -252,6 +252,7 @@
   xdr_destroy(&x);
   free(buf);
   free(g.v);
+  free(g.ids);
 }
 
 void tmx_peers_tick(struct tmx_peers *p) {
@@ -302,23 +303,12 @@
   return best;
 }
 
-double tmx_peers_heard(const struct tmx_peers *p, const char *machine, const char *only,
-                       bool *notice) {
-  double best = 1e9, now = tmx_now();
-  for (size_t i = 0; i < p->n; i++) {
-    const struct peer *q = &p->peers[i];
-    if (only && strcmp(q->name, only)) continue;
-    if (!q->beat_at || now - q->beat_at > 60) continue;
-    for (size_t k = 0; k < q->n_heard; k++) {
-      if (strcmp(q->heard[k].id, machine)) continue;
-      double age = q->heard[k].age + (now - q->beat_at);
-      if (age < best) {
-        best = age;
-        if (notice) *notice = q->heard[k].notice;
-      }
-    }
-  }
-  return best;
+bool tmx_peers_cut(const struct tmx_peers *p, const char *node) {
+  double now = tmx_now();
+  for (size_t i = 0; i < p->n; i++)
+    if (!strcmp(p->peers[i].name, node))
+      return p->peers[i].no_workers && now - p->peers[i].beat_at < TMX_BEAT_LOST_S;
+  return false;
 }
 
 struct tmx_peers *tmx_peers_new(struct tmx_ctl *c) {
@@ -356,7 +346,6 @@
   for (size_t i = 0; i < p->n; i++) {
     out_close(&p->peers[i]);
     tmx_buf_free(&p->peers[i].out);
-    free(p->peers[i].heard);
   }
   free(p);
 }
--- a/src/state/fold.c
+++ b/src/state/fold.c
@@ -1,8 +1,8 @@
-/* Folding: the leader writes the tasks of every job that the log still speaks of into pages, and
- * then drops the batches that are older than the first page. Each page is written on the
- * condition that head is what the replica saw, so it is exactly the state at its own version;
- * whoever loads keys applies them in order of version and finds the page's word standing. It is
- * housekeeping: it runs only while the write budget is mostly unused. */
+/* Folding: the leader writes the machines and the tasks of every job that is not over into pages,
+ * and then a mark: batches up to it no longer count, and their keys are used again. Each page is
+ * written on the condition that head is what the replica saw, so it is exactly the state at its own
+ * version; whoever loads keys applies them in order of version and finds the page's word standing.
+ * It is housekeeping: it runs only while puts are to spare. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,18 +10,22 @@
 #include "controller.h"
 #include "net/log.h"
 
-enum { IDLE, PAGES, DROPS };
+enum { IDLE, PAGES, MARK, DROPS };
 struct tmx_fold {
   struct tmx_ctl *c;
   size_t above;
   int step;
   bool busy;
-  uint64_t mark;            /* batches up to this version go */
-  char job[TMX_ID_MAX];     /* being written */
-  uint32_t next_task;       /* of it */
-  char (*todo)[TMX_ID_MAX]; /* jobs to be written */
-  size_t n_todo, at;
-  uint32_t sent_tasks;
+  double looked_at;
+  uint64_t mark, stamp; /* batches up to this version go; version of the mark that stands */
+  unsigned page;
+  char (*machines)[TMX_ID_MAX], (*jobs)[TMX_ID_MAX]; /* to be written */
+  size_t n_machines, n_jobs;
+  struct place { /* what comes next, and what comes after the pages under way */
+    size_t machine, job;
+    uint32_t task;
+    bool named;
+  } at, sent;
 };
 
 struct tmx_fold *tmx_fold_new(struct tmx_ctl *c) {
@@ -32,64 +36,133 @@
   return f;
 }
 void tmx_fold_free(struct tmx_fold *f) {
-  free(f->todo);
+  free(f->machines);
+  free(f->jobs);
   free(f);
 }
 void tmx_fold_above(struct tmx_fold *f, size_t keys) { f->above = keys; }
 
-static bool spoken_of(const struct tmx_job *j) { return j->tasks && j->touched; }
-
 static void begin(struct tmx_fold *f) {
-  struct tmx_job *j, *t;
-  free(f->todo);
-  f->todo = calloc(HASH_COUNT(f->c->rep.jobs) + 1, sizeof *f->todo);
-  if (!f->todo) abort();
-  f->n_todo = f->at = 0;
-  f->next_task = 0;
-  f->mark = f->c->rep.rev;
-  HASH_ITER(hh, f->c->rep.jobs, j, t) {
-    if (spoken_of(j) && j->touched <= f->mark)
-      snprintf(f->todo[f->n_todo++], TMX_ID_MAX, "%s", j->id);
-  }
+  struct tmx_replica *r = &f->c->rep;
+  struct tmx_job *j, *jt;
+  struct tmx_machine *m, *mt;
+  free(f->machines);
+  free(f->jobs);
+  f->machines = calloc(HASH_COUNT(r->machines) + 1, sizeof *f->machines);
+  f->jobs = calloc(HASH_COUNT(r->jobs) + 1, sizeof *f->jobs);
+  if (!f->machines || !f->jobs) abort();
+  f->n_machines = f->n_jobs = 0;
+  HASH_ITER(hh, r->machines, m, mt) memcpy(f->machines[f->n_machines++], m->id, TMX_ID_MAX);
+  HASH_ITER(hh, r->jobs, j, jt) if (j->tasks) memcpy(f->jobs[f->n_jobs++], j->id, TMX_ID_MAX);
+  memset(&f->at, 0, sizeof f->at);
+  f->mark = r->rev;
+  f->stamp = r->fold_stamp;
+  f->page = 0;
   f->step = PAGES;
 }
 
+/* What comes next in the pages, a line or an encoded job; false: nothing. */
+static bool next_line(struct tmx_fold *f, struct place *at, char *line, size_t cap,
+                      struct tmx_buf *job) {
+  struct tmx_replica *r = &f->c->rep;
+  for (; at->machine < f->n_machines; at->machine++) {
+    const struct tmx_machine *m = tmx_machine_find(r, f->machines[at->machine]);
+    if (!m || !m->known) continue;
+    tmx_machine_print(line, cap, r, m);
+    at->machine++;
+    return true;
+  }
+  for (; at->job < f->n_jobs; at->job++, at->task = 0, at->named = false) {
+    const struct tmx_job *j = tmx_job_find(r, f->jobs[at->job]);
+    if (j && j->tasks && !at->named) {
+      tmx_job_encode(job, j->id, &j->spec, j->submitted, TMX_OPEN);
+      at->named = true;
+      return true;
+    }
+    while (j && j->tasks && at->task < j->spec.tasks) {
+      int len;
+      at->task += tmx_run_print(line, cap, j, at->task, &len);
+      if (len) return true;
+    }
+  }
+  return false;
+}
+
 static void on_pages(void *arg, int res, uint64_t rev) {
   struct tmx_fold *f = arg;
   (void)rev;
   f->busy = false;
-  if (res == TMX_TXN_OK) f->next_task += f->sent_tasks;
+  if (res == TMX_TXN_OK) f->at = f->sent;
 }
 
 static void write_pages(struct tmx_fold *f) {
   struct tmx_ctl *c = f->c;
-  struct tmx_job *j = NULL;
-  while (f->at < f->n_todo) {
-    j = tmx_job_find(&c->rep, f->todo[f->at]);
-    if (j && spoken_of(j) && f->next_task < j->spec.tasks) break;
-    f->at++;
-    f->next_task = 0;
+  struct tmx_txn t = {0};
+  struct tmx_buf list = {0}, jobs = {0}, one = {0}, v = {0};
+  size_t max = (size_t)(c->set.value_kb * 1024 * 0.85), n = 0, n_jobs = 0;
+  int puts = (int)tmx_link_budget(c->link);
+  char line[TMX_LINE_MAX], key[TMX_KEY_MAX + 1];
+  struct place at = f->at, before = at;
+  if (puts > c->set.txn_ops) puts = c->set.txn_ops;
+  bool more = true;
+  tmx_txn_if(&t, TMX_K_HEAD, c->rep.head);
+  while (more && t.n_ops < puts && t.ops.n + max < TMX_TXN_BYTES) {
+    list.n = jobs.n = n = n_jobs = 0;
+    for (;;) {
+      before = at;
+      one.n = 0;
+      more = next_line(f, &at, line, sizeof line, &one);
+      if (!more) break;
+      if (list.n + jobs.n + one.n + (one.n ? 0 : strlen(line) + 3) > max) {
+        at = before; /* it begins the next page */
+        break;
+      }
+      if (one.n) {
+        tmx_buf_add(&jobs, one.p, one.n);
+        n_jobs++;
+      } else {
+        tmx_w_str(&list, line);
+        n++;
+      }
+    }
+    if (!n && !n_jobs) break;
+    v.n = 0;
+    tmx_lines_encode(&v, &jobs, n_jobs, &list, n);
+    snprintf(key, sizeof key, TMX_K_PAGE "%016llx/%05u", (unsigned long long)f->mark, f->page++);
+    tmx_txn_put(&t, key, &v, 0);
   }
-  if (f->at == f->n_todo) {
-    f->step = DROPS;
+  f->sent = at;
+  tmx_buf_free(&list);
+  tmx_buf_free(&jobs);
+  tmx_buf_free(&one);
+  tmx_buf_free(&v);
+  if (t.n_ops) {
+    f->busy = tmx_link_commit(c->link, &t, true, on_pages, f);
     return;
   }
+  tmx_buf_free(&t.conds);
+  tmx_buf_free(&t.ops);
+  if (!more) f->step = MARK;
+}
+
+static void on_mark(void *arg, int res, uint64_t rev) {
+  struct tmx_fold *f = arg;
+  (void)rev;
+  f->busy = false;
+  /* another leader's mark, or an answer that does not tell: the next fold begins anew */
+  f->step = res == TMX_TXN_OK ? DROPS : IDLE;
+}
+
+static void write_mark(struct tmx_fold *f) {
   struct tmx_txn t = {0};
-  size_t max = (size_t)(c->set.value_kb * 1024 * 0.85);
-  uint32_t from = f->next_task;
-  tmx_txn_if(&t, TMX_K_HEAD, c->rep.head);
-  while (t.n_ops < 4 && from < j->spec.tasks && t.ops.n + max < TMX_TXN_BYTES) {
-    struct tmx_buf b = {0};
-    char key[TMX_KEY_MAX + 1];
-    uint32_t n = tmx_page_encode(&b, j, from, max);
-    snprintf(key, sizeof key, TMX_K_DONE "%s/%06u", j->id, from);
-    tmx_txn_put(&t, key, &b, 0);
-    tmx_buf_free(&b);
-    from += n;
-    if (!n) break;
-  }
-  f->sent_tasks = from - f->next_task;
-  f->busy = tmx_link_commit(c->link, &t, false, on_pages, f);
+  struct tmx_buf v = {0};
+  tmx_txn_if(&t, TMX_K_FOLD, f->stamp);
+  tmx_w_map(&v, 2);
+  tmx_w_ku64(&v, "mark", f->mark);
+  tmx_w_ku64(&v, "gen", f->mark);
+  tmx_txn_put(&t, TMX_K_FOLD, &v, 0);
+  tmx_buf_free(&v);
+  f->busy = tmx_link_commit(f->c->link, &t, true, on_mark, f);
 }
 
 static void on_drops(void *arg, int res, uint64_t rev) {
@@ -99,41 +172,51 @@
   f->busy = false;
 }
 
-/* Drops what the pages replace; false: nothing is left to drop. */
+/* Drops the pages of other folds; false: nothing is left to drop. */
 static bool drop_some(struct tmx_fold *f) {
   struct tmx_ctl *c = f->c;
   struct tmx_txn t = {0};
   struct tmx_log_key *k, *tmp;
-  int max = c->set.txn_ops < 10 ? c->set.txn_ops : 10;
-  HASH_ITER(hh, c->rep.batches, k, tmp) {
-    if (f->step == DROPS && k->stamp <= f->mark && t.n_ops < max) tmx_txn_drop(&t, k->key);
-  }
+  int max = (int)tmx_link_budget(c->link);
+  if (max > c->set.txn_ops) max = c->set.txn_ops;
+  /* on the condition that the mark still stands: these pages might else be the newer ones */
+  tmx_txn_if(&t, TMX_K_FOLD, c->rep.fold_stamp);
   HASH_ITER(hh, c->rep.pages, k, tmp) {
-    char id[TMX_ID_MAX];
-    if (t.n_ops >= max || sscanf(k->key + strlen(TMX_K_DONE), "%31[^/]", id) != 1) continue;
-    const struct tmx_job *j = tmx_job_find(&c->rep, id);
-    if (j && j->fin && !j->tasks) tmx_txn_drop(&t, k->key);
+    unsigned long long gen;
+    if (t.n_ops >= max || sscanf(k->key + strlen(TMX_K_PAGE), "%llx", &gen) != 1) continue;
+    if (gen != c->rep.fold_gen) tmx_txn_drop(&t, k->key);
+  }
+  if (!t.n_ops) {
+    tmx_buf_free(&t.conds);
+    return false;
   }
-  if (!t.n_ops) return false;
-  f->busy = tmx_link_commit(c->link, &t, false, on_drops, f);
+  f->busy = tmx_link_commit(c->link, &t, true, on_drops, f);
   return true;
 }
 
 void tmx_fold_tick(struct tmx_fold *f) {
   struct tmx_ctl *c = f->c;
+  double now = tmx_now();
   if (f->busy) return;
   if (!tmx_link_leading(c->link) || !c->rep.loaded) {
     f->step = IDLE;
     return;
   }
-  double full = c->set.write_rps * 0.6;
-  if (tmx_link_budget(c->link) < full * TMX_FOLD_SPARE) return;
-  if (f->step == IDLE && HASH_COUNT(c->rep.batches) > f->above) {
+  if (!tmx_link_spare(c->link)) return;
+  if (f->step == IDLE) {
+    if (now - f->looked_at < 1) return;
+    f->looked_at = now;
+    struct tmx_log_key *k, *t;
+    size_t n = 0;
+    HASH_ITER(hh, c->rep.batches, k, t) n += k->stamp > c->rep.fold_mark;
+    if (n <= f->above) return;
     begin(f);
-    tmx_log(TMX_INFO, "fold: %zu jobs, %u batches", f->n_todo, HASH_COUNT(c->rep.batches));
+    tmx_log(TMX_INFO, "fold: %zu machines, %zu jobs, %zu batches", f->n_machines, f->n_jobs, n);
   }
   if (f->step == PAGES)
     write_pages(f);
-  else if (!drop_some(f))
+  else if (f->step == MARK)
+    write_mark(f);
+  else if (c->rep.fold_gen == f->mark && !drop_some(f))
     f->step = IDLE;
 }
--- a/src/state/link.c
+++ b/src/state/link.c
@@ -1,5 +1,6 @@
 #include "state/link.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -17,6 +18,7 @@
 };
 
 struct pending_txn {
+  struct tmx_link *k;
   tmx_txn_cb cb;
   void *arg;
 };
@@ -51,7 +53,9 @@
   int n_waiters;
   /* write budget */
   double tokens, tokens_at;
+  double watch_tokens, watch_at;
   char suspect[TMX_NAME_MAX];
+  bool stand_back;
 };
 
 static void start_load(struct tmx_link *k);
@@ -128,10 +132,16 @@
   start_watch(k);
 }
 
+/* Controllers among which the service's rates are shared. */
+static double sharers(const struct tmx_link *k) {
+  double n = (double)k->rep->view.n_members;
+  return n > 0 && k->rep->loaded ? n : k->set->n_peers + 1.0;
+}
+
 static void start_load(struct tmx_link *k) {
   char path[TMX_PATH_MAX + 64];
   if (k->loading) return;
-  snprintf(path, sizeof path, WP_KV "?prefix=" TMX_KEYS "%s%s&page=500", k->from[0] ? "&from=" : "",
+  snprintf(path, sizeof path, WP_KV "?prefix=" TMX_KEYS "%s%s&page=1000", k->from[0] ? "&from=" : "",
            k->from);
   k->loading = tmx_client_call(k->calls, "GET", path, NULL, TMX_STATE_TIMEOUT_S * 2, on_page, k);
   if (!k->loading) {
@@ -190,7 +200,14 @@
   tmx_replica_reached(k->rep, rev);
   tmx_cbor_free(m);
   settle(k);
-  again(k, TMX_WATCH_SPACING_S);
+  /* Watches are opened at once while there is room for it in this controller's share of requests:
+   * whoever lags behind the log loses the race for head. */
+  double rate = k->set->state_rps * TMX_WATCH_SHARE / sharers(k), now = tmx_now();
+  k->watch_tokens =
+      fmin(k->watch_tokens + rate * (now - k->watch_at), fmax(rate * TMX_WATCH_BURST_S, 1));
+  k->watch_at = now;
+  k->watch_tokens -= 1;
+  again(k, k->watch_tokens >= 0 ? 0 : -k->watch_tokens / rate);
 }
 
 static void start_watch(struct tmx_link *k) {
@@ -250,7 +267,7 @@
   bool wanted = tmx_now() - k->last_read > TMX_CONFIRM_IDLE_S;
   DL_FOREACH(k->waiters, w) if (!w->need) wanted = true;
   if (!wanted) return;
-  double wait = k->last_read + TMX_CONFIRM_SPACING_S - tmx_now();
+  double wait = k->last_read + sharers(k) / (k->set->state_rps * TMX_CONFIRM_SHARE) - tmx_now();
   if (wait > 0.001) {
     ev_timer_set(&k->confirm_t, wait, 0);
     ev_timer_start(k->loop, &k->confirm_t);
@@ -329,19 +346,38 @@
   tmx_buf_free(&v);
 }
 
+/* This controller's share of the puts; the leader, who also folds and records what machines are
+ * gone, has two. */
+static double put_rate(const struct tmx_link *k) {
+  double n = sharers(k);
+  double mine = n > 1 && tmx_link_leading(k) ? 2 : 1;
+  return k->set->write_rps * TMX_WRITE_SHARE * mine / (n > 1 ? n + 1 : 1);
+}
+
 static void refill(struct tmx_link *k) {
-  double now = tmx_now(), n = k->set->n_peers + 1.0;
-  double rate = k->set->write_rps * TMX_WRITE_SHARE / n;
-  k->tokens += (now - k->tokens_at) * rate;
+  double now = tmx_now(), rate = put_rate(k);
+  double burst = fmax(rate * TMX_PUT_BURST_S, 3); /* together less than the service's one second */
+  k->tokens = fmin(k->tokens + (now - k->tokens_at) * rate, burst);
   k->tokens_at = now;
-  double burst = k->set->write_rps * 0.6; /* of the second's worth that the service allows */
-  if (k->tokens > burst) k->tokens = burst;
 }
 
 double tmx_link_budget(struct tmx_link *k) {
   refill(k);
   return k->tokens;
 }
+double tmx_link_budget_in(struct tmx_link *k, double puts) {
+  refill(k);
+  return fmax(0, (puts - k->tokens) / put_rate(k)) + 0.002;
+}
+bool tmx_link_spare(struct tmx_link *k) {
+  refill(k);
+  return k->tokens > fmax(put_rate(k) * TMX_PUT_BURST_S, 3) * TMX_FOLD_SPARE;
+}
+/* So little was put of late that others hardly are in the way. */
+bool tmx_link_rich(struct tmx_link *k) {
+  refill(k);
+  return k->tokens > fmax(put_rate(k) * TMX_PUT_BURST_S, 3) * TMX_RICH;
+}
 
 static void on_txn(void *arg, int status, const uint8_t *body, size_t len) {
   struct pending_txn *p = arg;
@@ -359,6 +395,10 @@
   else if (status == 400 || status == 404 || status == 429 || status == 503 || status == -1)
     res = TMX_TXN_REFUSED;
   if (status == 400) tmx_log(TMX_ERROR, "state: a transaction was refused: %s", why);
+  if (status == 429) { /* others used more than their share */
+    if (p->k->tokens > 0) p->k->tokens = 0;
+    tmx_log(TMX_INFO, "state: too many puts");
+  }
   if (p->cb) p->cb(p->arg, res, rev);
   free(p);
 }
@@ -378,6 +418,7 @@
     tmx_buf_add(&b, t->ops.p, t->ops.n);
     struct pending_txn *p = calloc(1, sizeof *p);
     if (!p) abort();
+    p->k = k;
     p->cb = cb;
     p->arg = arg;
     ok = tmx_client_call(k->calls, "POST", WP_TXN, &b, TMX_STATE_TIMEOUT_S, on_txn, p);
@@ -474,6 +515,7 @@
 static void lead_step(struct tmx_link *k, double now) {
   struct tmx_replica *r = k->rep;
   if (!r->loaded || !k->inc || k->lead_busy || now - k->lead_at < TMX_STATE_RETRY_S) return;
+  if (k->stand_back) return;
   bool mine = !strcmp(r->leader, k->set->node) && r->leader_inc == k->inc;
   bool stale = !strcmp(r->leader, k->set->node) && r->leader_inc != k->inc;
   bool suspect = r->leader_stamp && !strcmp(r->leader, k->suspect);
@@ -494,6 +536,8 @@
   snprintf(k->suspect, sizeof k->suspect, "%s", node);
 }
 
+void tmx_link_stand_back(struct tmx_link *k, bool on) { k->stand_back = on; }
+
 void tmx_link_behind(struct tmx_link *k) {
   if (tmx_now() - k->last_read < TMX_BEAT_S) return;
   k->last_read = -TMX_CONFIRM_IDLE_S;
@@ -518,7 +562,7 @@
   k->rep = r;
   k->watch = tmx_client_new(loop, s->state, 2);
   k->calls = tmx_client_new(loop, s->state, 24);
-  k->tokens_at = tmx_now();
+  k->tokens_at = k->watch_at = tmx_now();
   k->tokens = 4;
   k->last_read = -TMX_CONFIRM_IDLE_S;
   k->lease_at = -TMX_LEASE_RENEW_S;
--- a/src/state/replica.c
+++ b/src/state/replica.c
@@ -31,6 +31,7 @@
 void tmx_replica_clear(struct tmx_replica *r) {
   struct tmx_job *j, *jt;
   struct tmx_machine *m, *mt;
+  if (r->on_clear) r->on_clear(r->arg);
   HASH_ITER(hh, r->jobs, j, jt) {
     HASH_DEL(r->jobs, j);
     free(j->tasks);
@@ -42,9 +43,21 @@
     free(m);
   }
   log_keys_clear(&r->batches);
-  log_keys_clear(&r->hires);
   log_keys_clear(&r->pages);
+  HASH_CLEAR(hh, r->view.taken);
   free(r->view.exceptions);
+  free(r->slots_m);
+  free(r->slots_j);
+  r->slots_m = r->slots_j = NULL;
+  r->n_slots_m = r->n_slots_j = r->cap_slots_m = r->cap_slots_j = 0;
+  r->top_m = r->top_j = 0;
+  r->fold_mark = r->fold_gen = r->fold_stamp = 0;
+  struct tmx_image_name *im, *it;
+  HASH_ITER(hh, r->images, im, it) {
+    HASH_DEL(r->images, im);
+    free(im);
+  }
+  r->n_wrote = 0;
   memset(&r->view, 0, sizeof r->view);
   memset(r->usage, 0, sizeof r->usage);
   r->n_nodes = 0;
@@ -81,26 +94,57 @@
   h ^= h >> 33;
   return h;
 }
-static const char *pick(const struct tmx_replica *r, const char *what) {
-  const char *best = NULL;
+static int pick(const struct tmx_replica *r, const char *what, int zone) {
+  int best = -1;
   uint64_t top = 0;
   for (size_t i = 0; i < r->view.n_members; i++) {
+    if (zone >= 0 && r->view.members[i].zone != zone) continue;
     uint64_t h = mix(r->view.members[i].name, what);
-    if (!best || h > top) {
+    if (best < 0 || h > top) {
       top = h;
-      best = r->view.members[i].name;
+      best = (int)i;
     }
   }
   return best;
 }
+int tmx_member_index(const struct tmx_replica *r, const char *name) {
+  for (size_t i = 0; name && i < r->view.n_members; i++)
+    if (!strcmp(r->view.members[i].name, name)) return (int)i;
+  return -1;
+}
+static int owner_index(const struct tmx_replica *r, const char *machine, int zone) {
+  struct tmx_exception *e;
+  HASH_FIND_STR(r->view.taken, machine, e);
+  int i = e ? tmx_member_index(r, e->node) : -1;
+  if (i < 0 && r->view.local && zone >= 0) i = pick(r, machine, zone);
+  return i >= 0 ? i : pick(r, machine, -1);
+}
 const char *tmx_owner_of(const struct tmx_replica *r, const char *machine) {
-  for (size_t i = 0; i < r->view.n_exceptions; i++)
-    if (!strcmp(r->view.exceptions[i].machine, machine) &&
-        tmx_member_find(r, r->view.exceptions[i].node))
-      return r->view.exceptions[i].node;
-  return pick(r, machine);
+  const struct tmx_machine *m = tmx_machine_find(r, machine);
+  int i = m && m->known ? m->owner : owner_index(r, machine, -1);
+  return i >= 0 ? r->view.members[i].name : NULL;
+}
+int tmx_planner_index(const struct tmx_replica *r, const char *job) { return pick(r, job, -1); }
+const char *tmx_planner_of(const struct tmx_replica *r, const char *job) {
+  int i = pick(r, job, -1);
+  return i >= 0 ? r->view.members[i].name : NULL;
+}
+double tmx_replica_wrote(const struct tmx_replica *r, const char *node) {
+  for (size_t i = 0; i < r->n_wrote; i++)
+    if (!strcmp(r->wrote[i].node, node)) return r->wrote[i].at;
+  return 0;
+}
+
+/* Places in the planner's tables, used again once free. */
+static int slot_take(int **v, size_t *n, int *top) { return *n ? (*v)[--*n] : (*top)++; }
+static void slot_give(int **v, size_t *n, size_t *cap, int slot) {
+  if (*n == *cap) {
+    *cap = *cap ? *cap * 2 : 64;
+    *v = realloc(*v, *cap * sizeof **v);
+    if (!*v) abort();
+  }
+  (*v)[(*n)++] = slot;
 }
-const char *tmx_planner_of(const struct tmx_replica *r, const char *job) { return pick(r, job); }
 
 /* ------------------------------------------------------------ wire forms */
 
@@ -150,34 +194,69 @@
   return true;
 }
 
-void tmx_job_encode(struct tmx_buf *b, const struct tmx_spec *s, double submitted, int fin) {
-  tmx_w_map(b, 19 + (s->n_types > 0) + (s->zone[0] != 0) + (s->deadline_s >= 0));
-  tmx_w_kstr(b, W_ID, "-");
-  tmx_w_kstr(b, W_CLASS, s->class);
-  tmx_w_kstr(b, W_TEAM, s->team);
-  tmx_w_kstr(b, W_KIND, s->service ? WV_SERVICE : WV_ARRAY);
-  tmx_w_kstr(b, W_PRIORITY, prio_names[s->priority]);
-  tmx_w_ku64(b, W_TASKS, s->tasks);
-  tmx_w_knum(b, W_CPUS, s->cpus);
-  tmx_w_knum(b, W_GPUS, s->gpus);
-  tmx_w_knum(b, W_MEM, s->mem);
-  tmx_w_kstr(b, W_IMAGE, s->image);
-  tmx_w_knum(b, W_IMAGE_GB, s->image_gb);
-  if (s->n_types) {
-    tmx_w_str(b, W_TYPES);
-    tmx_w_list(b, s->n_types);
-    for (size_t i = 0; i < s->n_types; i++) tmx_w_str(b, s->types[i]);
-  }
-  if (s->zone[0]) tmx_w_kstr(b, W_ZONE, s->zone);
-  tmx_w_kbool(b, W_ONE_ZONE, s->one_zone);
-  tmx_w_kbool(b, W_SPREAD, s->spread);
-  tmx_w_kbool(b, W_SPOT, s->spot);
-  tmx_w_knum(b, W_ESTIMATE, s->estimate_s);
-  tmx_w_knum(b, W_CHECKPOINT, s->checkpoint_s);
-  tmx_w_knum(b, W_SAVE, s->save_s);
-  if (s->deadline_s >= 0) tmx_w_knum(b, W_DEADLINE, s->deadline_s);
-  tmx_w_knum(b, "at", submitted);
-  tmx_w_ku64(b, "fin", (uint64_t)fin);
+/* Whole numbers take a byte or two, and most are. */
+static void w_short(struct tmx_buf *b, double v) {
+  if (v >= 0 && v < 4e9 && v == (double)(uint64_t)v)
+    tmx_w_u64(b, (uint64_t)v);
+  else
+    tmx_w_num(b, v);
+}
+
+/* A list in a fixed order: values are small, and many jobs may come at once. */
+void tmx_job_encode(struct tmx_buf *b, const char *id, const struct tmx_spec *s, double submitted,
+                    int fin) {
+  tmx_w_list(b, 19);
+  tmx_w_str(b, id);
+  tmx_w_str(b, s->class);
+  tmx_w_str(b, s->team);
+  tmx_w_str(b, s->image);
+  tmx_w_str(b, s->zone);
+  tmx_w_list(b, s->n_types);
+  for (size_t i = 0; i < s->n_types; i++) tmx_w_str(b, s->types[i]);
+  tmx_w_u64(b, (uint64_t)(s->service | s->one_zone << 1 | s->spread << 2 | s->spot << 3));
+  tmx_w_u64(b, (uint64_t)s->priority);
+  tmx_w_u64(b, s->tasks);
+  w_short(b, s->cpus);
+  w_short(b, s->gpus);
+  w_short(b, s->mem);
+  w_short(b, s->image_gb);
+  w_short(b, s->estimate_s);
+  w_short(b, s->checkpoint_s);
+  w_short(b, s->save_s);
+  w_short(b, s->deadline_s);
+  tmx_w_num(b, submitted);
+  tmx_w_u64(b, (uint64_t)fin);
+}
+
+static bool job_decode(const cbor_item_t *l, char *id, size_t cap, struct tmx_spec *s,
+                       double *submitted, uint64_t *fin) {
+  uint64_t flags, prio, tasks;
+  memset(s, 0, sizeof *s);
+  if (tmx_r_len(l) < 19 || !tmx_r_str(tmx_r_at(l, 0), id, cap) ||
+      !tmx_r_str(tmx_r_at(l, 1), s->class, sizeof s->class) ||
+      !tmx_r_str(tmx_r_at(l, 2), s->team, sizeof s->team) ||
+      !tmx_r_str(tmx_r_at(l, 3), s->image, sizeof s->image) ||
+      !tmx_r_str(tmx_r_at(l, 4), s->zone, sizeof s->zone))
+    return false;
+  const cbor_item_t *types = tmx_r_at(l, 5);
+  for (; s->n_types < tmx_r_len(types) && s->n_types < TMX_TYPES_MAX; s->n_types++)
+    if (!tmx_r_str(tmx_r_at(types, s->n_types), s->types[s->n_types], TMX_ID_MAX)) return false;
+  if (!tmx_r_u64(tmx_r_at(l, 6), &flags) || !tmx_r_u64(tmx_r_at(l, 7), &prio) ||
+      !tmx_r_u64(tmx_r_at(l, 8), &tasks) || tasks < 1 || tasks > TMX_TASKS_MAX ||
+      prio > TMX_PRIO_PROD || !tmx_r_num(tmx_r_at(l, 17), submitted) ||
+      !tmx_r_u64(tmx_r_at(l, 18), fin))
+    return false;
+  s->service = flags & 1;
+  s->one_zone = flags >> 1 & 1;
+  s->spread = flags >> 2 & 1;
+  s->spot = flags >> 3 & 1;
+  s->priority = (int)prio;
+  s->tasks = (uint32_t)tasks;
+  double *num[] = {&s->cpus,       &s->gpus,         &s->mem,    &s->image_gb,
+                   &s->estimate_s, &s->checkpoint_s, &s->save_s, &s->deadline_s};
+  for (size_t i = 0; i < sizeof num / sizeof num[0]; i++)
+    if (!tmx_r_num(tmx_r_at(l, 9 + i), num[i])) return false;
+  return true;
 }
 
 bool tmx_task_parse(const char *s, char *job, size_t cap, uint32_t *index) {
@@ -212,35 +291,49 @@
   return o->op == TMX_OP_PLACE || o->op == TMX_OP_STOP || o->op == TMX_OP_END;
 }
 
-uint32_t tmx_page_encode(struct tmx_buf *b, const struct tmx_job *j, uint32_t from,
-                         size_t max_bytes) {
-  struct tmx_buf list = {0};
-  size_t bytes = 64;
-  uint32_t n = 0;
-  for (uint32_t i = from; i < j->spec.tasks; i++, n++) {
-    const struct tmx_task *t = &j->tasks[i];
-    char s[96];
-    char state = t->state == TMX_TASK_DONE ? 'd'
-                 : t->state == TMX_WAITING ? 'w'
-                 : t->stop                 ? (char)('0' + t->stop)
-                                           : 'p';
-    int len =
-        snprintf(s, sizeof s, "%c %u %s", state, t->attempt, t->machine ? t->machine->id : "-");
-    if (bytes + (size_t)len + 4 > max_bytes) break;
-    bytes += (size_t)len + 4;
-    tmx_w_str(&list, s);
-  }
-  tmx_w_map(b, 2);
-  tmx_w_ku64(b, "from", from);
-  tmx_w_str(b, "tasks");
-  tmx_w_list(b, n);
-  tmx_buf_add(b, list.p, list.n);
-  tmx_buf_free(&list);
+int tmx_machine_print(char *out, size_t cap, const struct tmx_replica *r,
+                      const struct tmx_machine *m) {
+  return snprintf(out, cap, "m %s %s %s %s %d %d", m->id, m->addr[0] ? m->addr : "-", m->type,
+                  m->zone >= 0 ? r->set->zones[m->zone] : "-", m->spot, m->drain);
+}
+
+static char run_state(const struct tmx_task *t) {
+  return t->state == TMX_TASK_DONE ? 'd'
+         : t->state == TMX_WAITING ? 'w'
+         : t->stop                 ? (char)('0' + t->stop)
+                                   : 'p';
+}
+
+uint32_t tmx_run_print(char *out, size_t cap, const struct tmx_job *j, uint32_t from, int *len) {
+  const struct tmx_task *t = &j->tasks[from];
+  char s = run_state(t);
+  uint32_t n = 1;
+  if (s == 'd' || s == 'w')
+    while (from + n < j->spec.tasks && run_state(&t[n]) == s && t[n].attempt == t->attempt) n++;
+  *len = s == 'w' && !t->attempt ? 0
+                                 : snprintf(out, cap, "t %s/%u %u %u %c %s", j->id, from, n,
+                                            t->attempt, s, t->machine ? t->machine->id : "-");
   return n;
 }
 
+void tmx_lines_encode(struct tmx_buf *b, const struct tmx_buf *jobs, size_t n_jobs,
+                      const struct tmx_buf *list, size_t n) {
+  tmx_w_map(b, (n_jobs > 0) + (n > 0));
+  if (n_jobs) {
+    tmx_w_str(b, "jobs");
+    tmx_w_list(b, n_jobs);
+    tmx_buf_add(b, jobs->p, jobs->n);
+  }
+  if (n) {
+    tmx_w_str(b, "ops");
+    tmx_w_list(b, n);
+    tmx_buf_add(b, list->p, list->n);
+  }
+}
+
 void tmx_view_encode(struct tmx_buf *b, const struct tmx_view *v) {
-  tmx_w_map(b, 3);
+  tmx_w_map(b, 4);
+  tmx_w_kbool(b, "local", v->local);
   tmx_w_ku64(b, "term", v->term);
   tmx_w_str(b, "members");
   tmx_w_list(b, v->n_members);
@@ -250,18 +343,46 @@
     tmx_w_ku64(b, "inc", v->members[i].inc);
   }
   tmx_w_str(b, "exceptions");
-  tmx_w_list(b, v->n_exceptions * 2);
+  /* by node, so that each name is written once: a value is small, a cut takes many machines */
+  size_t n = 0;
+  struct tmx_buf list = {0};
+  bool *seen = xalloc(v->n_exceptions + 1);
   for (size_t i = 0; i < v->n_exceptions; i++) {
-    tmx_w_str(b, v->exceptions[i].machine);
-    tmx_w_str(b, v->exceptions[i].node);
+    if (seen[i]) continue;
+    struct tmx_buf ids = {0};
+    size_t k = 0;
+    for (size_t j = i; j < v->n_exceptions; j++) {
+      if (strcmp(v->exceptions[j].node, v->exceptions[i].node)) continue;
+      seen[j] = true;
+      tmx_w_str(&ids, v->exceptions[j].machine);
+      k++;
+    }
+    tmx_w_str(&list, v->exceptions[i].node);
+    tmx_w_list(&list, k);
+    tmx_buf_add(&list, ids.p, ids.n);
+    tmx_buf_free(&ids);
+    n += 2;
   }
+  free(seen);
+  tmx_w_list(b, n);
+  tmx_buf_add(b, list.p, list.n);
+  tmx_buf_free(&list);
 }
 
 /* ------------------------------------------------------------ applying */
 
 static void touched(struct tmx_replica *r, struct tmx_machine *m) {
+  m->changes++;
   if (r->on_machine) r->on_machine(r->arg, m);
 }
+static void job_touched(struct tmx_replica *r, struct tmx_job *j) {
+  bool waits = !j->fin && j->spec.tasks > j->n_done + j->n_placed;
+  if (!waits)
+    j->stuck_since = 0;
+  else if (!j->stuck_since)
+    j->stuck_since = r->now;
+  if (r->on_job) r->on_job(r->arg, j);
+}
 static void changed(struct tmx_replica *r) {
   if (r->on_change) r->on_change(r->arg);
 }
@@ -272,6 +393,7 @@
   m->cpus += sign * s->cpus;
   m->gpus += sign * s->gpus;
   m->mem += sign * s->mem;
+  if (m->zone >= 0) t->job->zone_live[m->zone] += (uint32_t)sign;
   if (t->job->team >= 0) {
     r->usage[t->job->team].cpus += sign * s->cpus;
     r->usage[t->job->team].gpus += sign * s->gpus;
@@ -298,6 +420,7 @@
   uint32_t i = tmx_task_index(t);
   if (i < t->job->first_wait) t->job->first_wait = i;
   touched(r, m);
+  job_touched(r, t->job);
 }
 
 static struct tmx_machine *machine_make(struct tmx_replica *r, const char *id) {
@@ -306,21 +429,50 @@
   m = xalloc(sizeof *m);
   snprintf(m->id, sizeof m->id, "%s", id);
   m->zone = -1;
+  m->slot = slot_take(&r->slots_m, &r->n_slots_m, &r->top_m);
+  m->owner = owner_index(r, id, -1);
   HASH_ADD_STR(r->machines, id, m);
   return m;
 }
 
+static void machine_forget(struct tmx_replica *r, struct tmx_machine *m) {
+  if (r->on_gone) r->on_gone(r->arg, m);
+  slot_give(&r->slots_m, &r->n_slots_m, &r->cap_slots_m, m->slot);
+  HASH_DEL(r->machines, m);
+  free(m);
+}
+
+/* Tasks that a page or an early batch placed there are counted in its zone from now on. */
+static void set_zone(struct tmx_machine *m, int zone) {
+  if (m->zone == zone) return;
+  for (struct tmx_task *t = m->tasks; t; t = t->next) {
+    if (m->zone >= 0) t->job->zone_live[m->zone]--;
+    if (zone >= 0) t->job->zone_live[zone]++;
+  }
+  m->zone = zone;
+}
+
+static int image_id(struct tmx_replica *r, const char *name) {
+  struct tmx_image_name *n;
+  HASH_FIND_STR(r->images, name, n);
+  if (n) return n->id;
+  n = xalloc(sizeof *n);
+  snprintf(n->name, sizeof n->name, "%s", name);
+  n->id = (int)HASH_COUNT(r->images) + 1;
+  HASH_ADD_STR(r->images, name, n);
+  return n->id;
+}
+
 /* A machine keeps the images used latest; how many is bounded here, not by its cache size. */
 static void remember_image(struct tmx_machine *m, const struct tmx_spec *s, double since) {
   size_t i;
   for (i = 0; i < m->n_images; i++)
-    if (!strcmp(m->images[i].name, s->image)) break;
+    if (m->images[i].id == s->image_id) break;
   if (i < m->n_images) since = m->images[i].since;
   if (i == m->n_images && m->n_images < TMX_IMAGES_KEPT) m->n_images++;
   if (i == TMX_IMAGES_KEPT) i--;
   memmove(&m->images[1], &m->images[0], i * sizeof m->images[0]);
-  memcpy(m->images[0].name, s->image, sizeof m->images[0].name);
-  m->images[0].gb = s->image_gb;
+  m->images[0].id = s->image_id;
   m->images[0].since = since;
 }
 
@@ -343,6 +495,8 @@
     book(r, t, 1);
     remember_image(t->machine, &j->spec, r->loaded ? r->now : -1e9);
     touched(r, t->machine);
+    j->stuck_since = r->now;
+    job_touched(r, j);
     if (r->loaded && !t->machine->known) unplace(r, t);
     return;
   }
@@ -353,9 +507,11 @@
     return;
   }
   struct tmx_machine *m = t->machine;
+  float ran = t->seen_at ? (float)r->now - t->seen_at : 0;
   unplace(r, t);
   if (o->how == TMX_END_DONE) {
     t->state = TMX_TASK_DONE;
+    if (ran > j->longest) j->longest = ran;
     if (j->fin != TMX_FIN_DONE) j->n_done++;
     j->fails = 0;
     m->errors = 0;
@@ -370,32 +526,35 @@
     snprintf(m->error_job, sizeof m->error_job, "%s", j->id);
     m->errors++;
   }
+  job_touched(r, j);
   release(r, j);
   changed(r);
 }
 
-static void apply_job(struct tmx_replica *r, const char *id, uint64_t stamp, const cbor_item_t *v) {
-  struct tmx_job *j = tmx_job_find(r, id);
-  char dummy[TMX_ID_MAX];
+/* A submission, from the log, or with its final state from the job's own key. */
+static struct tmx_job *apply_job(struct tmx_replica *r, const cbor_item_t *v) {
+  char id[TMX_ID_MAX];
   uint64_t fin = 0;
-  if (!v) return; /* job keys are never dropped */
-  tmx_r_ku64(v, "fin", &fin);
+  struct tmx_spec spec;
+  double submitted;
+  if (!job_decode(v, id, sizeof id, &spec, &submitted, &fin)) {
+    tmx_log(TMX_ERROR, "state: a job cannot be read");
+    return NULL;
+  }
+  struct tmx_job *j = tmx_job_find(r, id);
   if (!j) {
     j = xalloc(sizeof *j);
-    if (!tmx_spec_parse(v, &j->spec, dummy, sizeof dummy)) {
-      tmx_log(TMX_ERROR, "state: job %s cannot be read", id);
-      free(j);
-      return;
-    }
     snprintf(j->id, sizeof j->id, "%s", id);
-    tmx_r_knum(v, "at", &j->submitted);
+    j->spec = spec;
+    j->submitted = submitted;
     j->loaded_at = r->now;
     j->team = tmx_team_index(r->set, j->spec.team);
+    j->spec.image_id = image_id(r, j->spec.image);
     j->tasks = xalloc(sizeof(struct tmx_task) * j->spec.tasks);
     for (uint32_t i = 0; i < j->spec.tasks; i++) j->tasks[i].job = j;
+    j->slot = slot_take(&r->slots_j, &r->n_slots_j, &r->top_j);
     HASH_ADD_STR(r->jobs, id, j);
   }
-  j->stamp = stamp;
   if (fin && !j->fin) {
     j->fin = (int)fin;
     for (uint32_t i = 0; j->n_placed && i < j->spec.tasks; i++)
@@ -403,7 +562,9 @@
     if (j->fin == TMX_FIN_DONE) j->n_done = j->spec.tasks;
     release(r, j);
   }
+  job_touched(r, j);
   changed(r);
+  return j;
 }
 
 /* Keeps count of the keys of one kind that stand. */
@@ -425,21 +586,7 @@
   k->stamp = stamp;
 }
 
-static void apply_batch(struct tmx_replica *r, const char *key, uint64_t stamp,
-                        const cbor_item_t *v) {
-  keep_key(&r->batches, key, stamp, v != NULL);
-  const cbor_item_t *ops = tmx_r_get(v, "ops");
-  for (size_t i = 0; i < tmx_r_len(ops); i++) {
-    char s[128];
-    struct tmx_op o;
-    if (!tmx_r_str(tmx_r_at(ops, i), s, sizeof s) || !tmx_op_parse(s, &o)) continue;
-    struct tmx_job *j = tmx_job_find(r, o.job);
-    if (j) j->touched = stamp;
-    apply_op(r, &o);
-  }
-}
-
-/* A machine whose key is dropped is gone by proof, and everything on it. */
+/* A machine that is gone by proof, and everything on it. */
 static void machine_lost(struct tmx_replica *r, struct tmx_machine *m) {
   while (m->tasks) {
     struct tmx_job *j = m->tasks->job;
@@ -448,35 +595,107 @@
   }
 }
 
-static void apply_machine(struct tmx_replica *r, const char *id, uint64_t stamp,
-                          const cbor_item_t *v) {
-  if (!v) {
+static void apply_machine(struct tmx_replica *r, const char *line) {
+  char id[TMX_ID_MAX], addr[TMX_NAME_MAX], type[TMX_ID_MAX], zone[TMX_NAME_MAX];
+  int spot, drain;
+  if (line[0] == TMX_LINE_MACHINE) {
+    if (sscanf(line, "m %31s %63s %31s %63s %d %d", id, addr, type, zone, &spot, &drain) != 6)
+      return;
+    struct tmx_machine *m = machine_make(r, id);
+    snprintf(m->addr, sizeof m->addr, "%s", addr);
+    snprintf(m->type, sizeof m->type, "%s", type);
+    set_zone(m, tmx_zone_index(r->set, zone));
+    m->owner = owner_index(r, id, m->zone);
+    m->spot = spot != 0;
+    m->drain = drain != 0;
+    m->known = true;
+    touched(r, m);
+  } else if (line[0] == TMX_LINE_DRAIN) {
+    if (sscanf(line, "d %31s %d", id, &drain) != 2) return;
+    struct tmx_machine *m = tmx_machine_find(r, id);
+    if (!m) return;
+    m->drain = drain != 0;
+    touched(r, m);
+  } else {
+    if (sscanf(line, "x %31s", id) != 1) return;
     struct tmx_machine *m = tmx_machine_find(r, id);
     if (!m) return;
     m->known = false;
     if (!r->loaded) return; /* what was on it is settled once loading is complete */
     machine_lost(r, m);
-    if (r->on_gone) r->on_gone(r->arg, m);
-    HASH_DEL(r->machines, m);
-    free(m);
-    changed(r);
-    return;
+    machine_forget(r, m);
   }
-  struct tmx_machine *m = machine_make(r, id);
-  char zone[TMX_NAME_MAX] = "";
-  m->known = true;
-  m->stamp = stamp;
-  tmx_r_kstr(v, "addr", m->addr, sizeof m->addr);
-  tmx_r_kstr(v, "type", m->type, sizeof m->type);
-  tmx_r_kstr(v, "zone", zone, sizeof zone);
-  m->zone = tmx_zone_index(r->set, zone);
-  tmx_r_kbool(v, "spot", &m->spot);
-  m->drain = false;
-  tmx_r_kbool(v, "drain", &m->drain);
-  touched(r, m);
   changed(r);
 }
 
+/* A page holds the state of runs of tasks as of its own version. */
+static void apply_run(struct tmx_replica *r, const char *line) {
+  char task[TMX_ID_MAX + 16], id[TMX_ID_MAX], machine[TMX_ID_MAX], state;
+  unsigned n, attempt;
+  uint32_t from;
+  if (sscanf(line, "t %47s %u %u %c %31s", task, &n, &attempt, &state, machine) != 5 ||
+      !tmx_task_parse(task, id, sizeof id, &from))
+    return;
+  struct tmx_job *j = tmx_job_find(r, id);
+  if (!j || !j->tasks) return;
+  for (uint32_t i = from; n && i < j->spec.tasks; i++, n--) {
+    struct tmx_task *t = &j->tasks[i];
+    if (attempt < t->attempt || t->state == TMX_TASK_DONE) continue;
+    if (state == 'd') {
+      if (t->state == TMX_PLACED) unplace(r, t);
+      t->attempt = attempt;
+      t->state = TMX_TASK_DONE;
+      if (j->fin != TMX_FIN_DONE) j->n_done++;
+    } else if (state == 'w') {
+      /* an older batch may still say that this attempt is placed: the page is newer */
+      if (t->state == TMX_PLACED) unplace(r, t);
+      t->attempt = attempt;
+    } else if (attempt > t->attempt) {
+      struct tmx_op o = {.op = TMX_OP_PLACE, .task = i, .attempt = attempt};
+      snprintf(o.job, sizeof o.job, "%s", id);
+      snprintf(o.machine, sizeof o.machine, "%s", machine);
+      apply_op(r, &o);
+      if (state == '1' || state == '2') t->stop = (uint8_t)(state - '0');
+    }
+  }
+}
+
+static void apply_lines(struct tmx_replica *r, const cbor_item_t *v) {
+  const cbor_item_t *ops = tmx_r_get(v, "ops"), *jobs = tmx_r_get(v, "jobs");
+  for (size_t i = 0; i < tmx_r_len(jobs); i++) apply_job(r, tmx_r_at(jobs, i));
+  for (size_t i = 0; i < tmx_r_len(ops); i++) {
+    char s[TMX_LINE_MAX];
+    struct tmx_op o;
+    if (!tmx_r_str(tmx_r_at(ops, i), s, sizeof s)) continue;
+    if (s[0] == TMX_LINE_MACHINE || s[0] == TMX_LINE_DRAIN || s[0] == TMX_LINE_GONE)
+      apply_machine(r, s);
+    else if (s[0] == TMX_LINE_RUN)
+      apply_run(r, s);
+    else if (tmx_op_parse(s, &o))
+      apply_op(r, &o);
+  }
+}
+
+static void apply_batch(struct tmx_replica *r, const char *key, const char *rest, uint64_t stamp,
+                        const cbor_item_t *v) {
+  keep_key(&r->batches, key, stamp, v != NULL);
+  /* Batches up to the mark are in the pages. Their keys are written over in any order, so what is
+   * left of them no longer tells the whole story. */
+  if (!v || stamp <= r->fold_mark) return;
+  const char *end = strchr(rest, '/');
+  size_t n = end ? (size_t)(end - rest) : 0, i;
+  if (n && n < TMX_NAME_MAX) {
+    for (i = 0; i < r->n_wrote; i++)
+      if (!strncmp(r->wrote[i].node, rest, n) && !r->wrote[i].node[n]) break;
+    if (i == r->n_wrote && i < TMX_MEMBERS_MAX) {
+      r->n_wrote++;
+      snprintf(r->wrote[i].node, TMX_NAME_MAX, "%.*s", (int)n, rest);
+    }
+    if (i < r->n_wrote) r->wrote[i].at = r->now;
+  }
+  apply_lines(r, v);
+}
+
 static void apply_node(struct tmx_replica *r, const char *name, uint64_t stamp,
                        const cbor_item_t *v) {
   size_t i;
@@ -498,25 +717,43 @@
 static void apply_view(struct tmx_replica *r, uint64_t stamp, const cbor_item_t *v) {
   struct tmx_view *w = &r->view;
   if (!v) return;
+  HASH_CLEAR(hh, w->taken);
   free(w->exceptions);
   memset(w, 0, sizeof *w);
   w->stamp = stamp;
   tmx_r_ku64(v, "term", &w->term);
+  tmx_r_kbool(v, "local", &w->local);
   const cbor_item_t *ms = tmx_r_get(v, "members"), *ex = tmx_r_get(v, "exceptions");
   for (size_t i = 0; i < tmx_r_len(ms) && w->n_members < TMX_MEMBERS_MAX; i++) {
     struct tmx_member *m = &w->members[w->n_members];
-    if (tmx_r_kstr(tmx_r_at(ms, i), "name", m->name, sizeof m->name) &&
-        tmx_r_ku64(tmx_r_at(ms, i), "inc", &m->inc))
-      w->n_members++;
+    if (!tmx_r_kstr(tmx_r_at(ms, i), "name", m->name, sizeof m->name) ||
+        !tmx_r_ku64(tmx_r_at(ms, i), "inc", &m->inc))
+      continue;
+    m->zone = tmx_node_zone(r->set, m->name);
+    w->n_members++;
   }
-  size_t n = tmx_r_len(ex) / 2;
+  size_t n = 0;
+  for (size_t i = 1; i < tmx_r_len(ex); i += 2) n += tmx_r_len(tmx_r_at(ex, i));
   w->exceptions = xalloc(sizeof *w->exceptions * (n + 1));
-  for (size_t i = 0; i < n; i++)
-    if (tmx_r_str(tmx_r_at(ex, 2 * i), w->exceptions[w->n_exceptions].machine, TMX_ID_MAX) &&
-        tmx_r_str(tmx_r_at(ex, 2 * i + 1), w->exceptions[w->n_exceptions].node, TMX_NAME_MAX))
+  for (size_t i = 0; i + 1 < tmx_r_len(ex); i += 2) {
+    const cbor_item_t *ids = tmx_r_at(ex, i + 1);
+    for (size_t k = 0; k < tmx_r_len(ids); k++) {
+      struct tmx_exception *e = &w->exceptions[w->n_exceptions], *old;
+      if (!tmx_r_str(tmx_r_at(ex, i), e->node, TMX_NAME_MAX) ||
+          !tmx_r_str(tmx_r_at(ids, k), e->machine, TMX_ID_MAX))
+        continue;
+      HASH_FIND_STR(w->taken, e->machine, old);
+      if (old) continue;
+      HASH_ADD_STR(w->taken, machine, e);
       w->n_exceptions++;
+    }
+  }
   struct tmx_machine *m, *t;
-  HASH_ITER(hh, r->machines, m, t) touched(r, m);
+  HASH_ITER(hh, r->machines, m, t) {
+    m->owner = owner_index(r, m->id, m->zone);
+    touched(r, m);
+  }
+  if (r->on_view) r->on_view(r->arg);
   changed(r);
 }
 
@@ -527,59 +764,23 @@
   return true;
 }
 
-/* A folded page holds the state of a run of one job's tasks as of its own version. */
-static void apply_done(struct tmx_replica *r, const char *rest, const cbor_item_t *v) {
-  char id[TMX_ID_MAX];
-  uint64_t from = 0;
-  const char *c = strchr(rest, '/');
-  if (!v || !c || (size_t)(c - rest) >= sizeof id || !tmx_r_ku64(v, "from", &from)) return;
-  memcpy(id, rest, (size_t)(c - rest));
-  id[c - rest] = 0;
-  struct tmx_job *j = tmx_job_find(r, id);
-  if (!j || !j->tasks) return;
-  const cbor_item_t *ts = tmx_r_get(v, "tasks");
-  for (size_t i = 0; i < tmx_r_len(ts); i++) {
-    char s[96], state, machine[TMX_ID_MAX];
-    unsigned attempt;
-    if (from + i >= j->spec.tasks || !tmx_r_str(tmx_r_at(ts, i), s, sizeof s)) continue;
-    if (sscanf(s, "%c %u %31s", &state, &attempt, machine) != 3) continue;
-    struct tmx_task *t = &j->tasks[from + i];
-    if (attempt < t->attempt || t->state == TMX_TASK_DONE) continue;
-    if (state == 'd') {
-      if (t->state == TMX_PLACED) unplace(r, t);
-      t->attempt = attempt;
-      t->state = TMX_TASK_DONE;
-      if (j->fin != TMX_FIN_DONE) j->n_done++;
-    } else if (state == 'w') {
-      /* an older batch may still say that this attempt is placed: the page is newer */
-      if (t->state == TMX_PLACED) unplace(r, t);
-      t->attempt = attempt;
-    } else if (attempt > t->attempt) {
-      struct tmx_op o = {.op = TMX_OP_PLACE, .task = t - j->tasks, .attempt = attempt};
-      snprintf(o.job, sizeof o.job, "%s", id);
-      snprintf(o.machine, sizeof o.machine, "%s", machine);
-      apply_op(r, &o);
-      if (state == '1' || state == '2') t->stop = (uint8_t)(state - '0');
-    }
-  }
-}
-
 void tmx_replica_apply(struct tmx_replica *r, const char *key, uint64_t stamp,
                        const cbor_item_t *v) {
   const char *rest;
   if (after(key, TMX_K_BATCH, &rest)) {
-    apply_batch(r, key, stamp, v);
+    apply_batch(r, key, rest, stamp, v);
   } else if (after(key, TMX_K_JOB, &rest)) {
-    apply_job(r, rest, stamp, v);
-  } else if (after(key, TMX_K_DONE, &rest)) {
+    struct tmx_job *j = v ? apply_job(r, v) : NULL; /* job keys are never dropped */
+    if (j) j->stamp = stamp;
+  } else if (after(key, TMX_K_PAGE, &rest)) {
     keep_key(&r->pages, key, stamp, v != NULL);
-    apply_done(r, rest, v);
-  } else if (after(key, TMX_K_MACHINE, &rest)) {
-    apply_machine(r, rest, stamp, v);
+    if (v && !r->loaded) apply_lines(r, v); /* a complete copy has it already */
+  } else if (!strcmp(key, TMX_K_FOLD)) {
+    r->fold_stamp = v ? stamp : 0;
+    tmx_r_ku64(v, "mark", &r->fold_mark);
+    tmx_r_ku64(v, "gen", &r->fold_gen);
   } else if (after(key, TMX_K_NODE, &rest)) {
     apply_node(r, rest, stamp, v);
-  } else if (after(key, TMX_K_HIRE, &rest)) {
-    keep_key(&r->hires, key, stamp, v != NULL);
   } else if (!strcmp(key, TMX_K_HEAD)) {
     r->head = stamp;
   } else if (!strcmp(key, TMX_K_VIEW)) {
@@ -596,12 +797,15 @@
   }
 }
 
+/* The mark first, since it tells which batches count; then jobs: the log speaks of their tasks, and
+ * a final state rewrites a job's version. */
+static int load_class(const char *key) {
+  return !strcmp(key, TMX_K_FOLD) ? 0 : strncmp(key, TMX_K_JOB, strlen(TMX_K_JOB)) ? 2 : 1;
+}
 static int by_version(const void *a, const void *b) {
   const struct tmx_item *x = a, *y = b;
-  /* jobs first: the log speaks of their tasks, and a final state rewrites a job's version */
-  bool jx = !strncmp(x->key, TMX_K_JOB, strlen(TMX_K_JOB));
-  bool jy = !strncmp(y->key, TMX_K_JOB, strlen(TMX_K_JOB));
-  if (jx != jy) return jx ? -1 : 1;
+  int jx = load_class(x->key), jy = load_class(y->key);
+  if (jx != jy) return jx - jy;
   if (x->stamp != y->stamp) return x->stamp < y->stamp ? -1 : 1;
   return strcmp(x->key, y->key);
 }
@@ -619,9 +823,7 @@
   HASH_ITER(hh, r->machines, m, t) {
     if (m->known) continue;
     machine_lost(r, m);
-    if (r->on_gone) r->on_gone(r->arg, m);
-    HASH_DEL(r->machines, m);
-    free(m);
+    machine_forget(r, m);
   }
   struct tmx_job *j, *jt;
   HASH_ITER(hh, r->jobs, j, jt) release(r, j);
--- a/src/state/replica.h
+++ b/src/state/replica.h
@@ -12,10 +12,9 @@
 #define TMX_KEY_MAX 200 /* bytes; PROTOCOL's limit */
 #define TMX_K_JOB TMX_KEYS "job/"
 #define TMX_K_BATCH TMX_KEYS "batch/"
-#define TMX_K_DONE TMX_KEYS "done/"
-#define TMX_K_MACHINE TMX_KEYS "machine/"
+#define TMX_K_PAGE TMX_KEYS "page/"
+#define TMX_K_FOLD TMX_KEYS "fold"
 #define TMX_K_NODE TMX_KEYS "node/"
-#define TMX_K_HIRE TMX_KEYS "hire/"
 #define TMX_K_LEADER TMX_KEYS "leader"
 #define TMX_K_VIEW TMX_KEYS "view"
 #define TMX_K_HEAD TMX_KEYS "head"
@@ -33,12 +32,12 @@
   uint32_t tasks;
   double cpus, gpus, mem, image_gb, estimate_s, checkpoint_s, save_s, deadline_s; /* <0: none */
   double patience_s; /* a fetch this long weighs as much as a full machine; from the aims */
+  int image_id;      /* set by the replica; 0: none */
 };
 
 #define TMX_IMAGES_KEPT 12
 struct tmx_image {
-  char name[TMX_NAME_MAX];
-  double gb;
+  int id; /* see tmx_image_id */
   double since; /* steady clock, s: when its fetch began; of old, if read at the start */
 };
 
@@ -53,21 +52,32 @@
   float placed_at;     /* s, steady clock of this process, when it was first seen placed */
   float seen_at;       /* s; the worker reported it running; 0: not yet */
   bool ending;         /* its end is in the batch being made */
+  /* what the worker's latest report says of this attempt; valid while report equals the worker's */
+  uint32_t report;
+  uint8_t report_state;
+  char report_how;
 };
 struct tmx_job {
   char id[TMX_ID_MAX];
-  uint64_t stamp; /* version of its key */
+  uint64_t stamp; /* version of its key, which is written with its final state; 0: none */
   struct tmx_spec spec;
   double submitted; /* time of day, s */
   double loaded_at; /* steady clock, s */
   int fin, team;
   struct tmx_task *tasks;
   uint32_t n_done, n_placed, first_wait;
-  uint64_t touched; /* version of the latest batch that spoke of it */
-  uint32_t fails;   /* errors in a row */
+  uint32_t zone_live[TMX_ZONES_MAX]; /* placed, by zone */
+  double stuck_since; /* steady clock, s: tasks wait, and none was placed, since; 0: none waits */
+  double answered_at; /* steady clock, s: a user was last told of it here */
+  double longest;     /* s: the longest run of a task that was seen to its end */
+  uint32_t fails;     /* errors in a row */
   double retry_at;
-  uint32_t n_ending;               /* of the batch being made: tasks that end as done */
-  int plan_index;                  /* of the round being made */
+  uint32_t n_ending; /* of the batch being made: tasks that end as done */
+  int slot;          /* its place in the planner's tables */
+  bool dirty, fed;   /* to be told to the planner; it knows the submission */
+  /* of the batch being checked */
+  uint64_t check;
+  uint32_t check_zone[TMX_ZONES_MAX];
   char bad_machine[4][TMX_ID_MAX]; /* where it failed lately */
   unsigned bad_at;
   UT_hash_handle hh;
@@ -76,31 +86,41 @@
   char id[TMX_ID_MAX], addr[TMX_NAME_MAX], type[TMX_ID_MAX];
   int zone;                /* index, -1: unknown */
   bool spot, known, drain; /* known: its key exists */
-  uint64_t stamp;
   struct tmx_task *tasks; /* placed here */
   uint32_t n_tasks;
+  uint32_t changes; /* counts what on_machine was told */
+  int owner;        /* member index; -1: no view */
   double cpus, gpus, mem; /* booked */
   uint32_t errors;        /* failures in a row, and of how many jobs at least */
   char error_job[TMX_ID_MAX];
   bool error_two;
   struct tmx_image images[TMX_IMAGES_KEPT]; /* latest first, as the log tells */
   size_t n_images;
-  int plan_index; /* of the round being made */
+  double size_cpus, size_gpus, size_mem; /* of its type, set by the controller; 0: not known */
+  bool usable, dirty;                    /* for the planner, set by the controller */
+  int slot;
+  struct worker *worker; /* its record in src/worker, which keeps this */
+  /* of the batch being checked */
+  uint64_t check;
+  double check_cpus, check_gpus, check_mem;
 
   UT_hash_handle hh;
 };
 struct tmx_member {
   char name[TMX_NAME_MAX];
   uint64_t inc; /* version of its node key: which run of the process */
+  int zone;     /* where the settings say it is; -1: not known */
 };
 struct tmx_exception {
   char machine[TMX_ID_MAX], node[TMX_NAME_MAX];
+  UT_hash_handle hh; /* in the view's `taken` */
 };
 struct tmx_view {
   uint64_t stamp, term;
   struct tmx_member members[TMX_MEMBERS_MAX];
   size_t n_members;
-  struct tmx_exception *exceptions;
+  bool local; /* zones cannot reach each other: machines belong to members of their own */
+  struct tmx_exception *exceptions, *taken;
   size_t n_exceptions;
 };
 struct tmx_log_key { /* a batch key that still stands */
@@ -108,6 +128,11 @@
   uint64_t stamp;
   UT_hash_handle hh;
 };
+struct tmx_image_name {
+  char name[TMX_NAME_MAX];
+  int id;
+  UT_hash_handle hh;
+};
 struct tmx_usage {
   double cpus, gpus;
 };
@@ -123,7 +148,17 @@
   size_t n_nodes;
   char leader[TMX_NAME_MAX];
   uint64_t leader_stamp, leader_inc;
-  struct tmx_log_key *batches, *hires, *pages;
+  struct tmx_log_key *batches, *pages;
+  uint64_t fold_stamp, fold_mark, fold_gen; /* batches up to this version are in the pages of this fold */
+  struct tmx_wrote { /* who committed a batch of late: a sign of life */
+    char node[TMX_NAME_MAX];
+    double at;
+  } wrote[TMX_MEMBERS_MAX];
+  size_t n_wrote;
+  int *slots_m, *slots_j; /* free places, and how many have ever been given */
+  size_t n_slots_m, n_slots_j, cap_slots_m, cap_slots_j;
+  int top_m, top_j;
+  struct tmx_image_name *images; /* names are compared once: numbers from here on */
   struct tmx_usage usage[TMX_TEAMS_MAX];
   double now; /* steady clock at the latest event, set by the caller */
   /* told of what changed; may be NULL */
@@ -131,6 +166,9 @@
   void (*on_machine)(void *arg, struct tmx_machine *m); /* its tasks or orders changed */
   void (*on_gone)(void *arg, struct tmx_machine *m);    /* its key was dropped */
   void (*on_change)(void *arg);                         /* something worth a round */
+  void (*on_job)(void *arg, struct tmx_job *j);         /* what the planner knows of it changed */
+  void (*on_view)(void *arg);                           /* owners may differ */
+  void (*on_clear)(void *arg);                          /* all is forgotten: read anew */
 };
 
 void tmx_replica_init(struct tmx_replica *r, const struct tmx_settings *s);
@@ -150,21 +188,35 @@
 struct tmx_machine *tmx_machine_find(const struct tmx_replica *r, const char *id);
 const char *tmx_owner_of(const struct tmx_replica *r, const char *machine); /* NULL: no view */
 const char *tmx_planner_of(const struct tmx_replica *r, const char *job);
+int tmx_planner_index(const struct tmx_replica *r, const char *job); /* -1: no view */
+int tmx_member_index(const struct tmx_replica *r, const char *name); /* -1: none */
 const struct tmx_member *tmx_member_find(const struct tmx_replica *r, const char *name);
 static inline uint32_t tmx_task_index(const struct tmx_task *t);
 
 /* wire forms */
 bool tmx_spec_parse(const cbor_item_t *m, struct tmx_spec *s, char *id, size_t id_cap);
-void tmx_job_encode(struct tmx_buf *b, const struct tmx_spec *s, double submitted, int fin);
+void tmx_job_encode(struct tmx_buf *b, const char *id, const struct tmx_spec *s, double submitted,
+                    int fin);
 bool tmx_task_parse(const char *s, char *job, size_t cap, uint32_t *index);
-/* A page of a job's tasks as they stand, from `from` on, of at most max_bytes; returns how many
- * tasks it holds. */
-uint32_t tmx_page_encode(struct tmx_buf *b, const struct tmx_job *j, uint32_t from,
-                         size_t max_bytes);
+/* Lines of a page, as the state stands: one machine; a run of tasks of a job from `from` on that are
+ * alike (returns how many; 0 bytes printed if they were never placed). */
+int tmx_machine_print(char *out, size_t cap, const struct tmx_replica *r,
+                      const struct tmx_machine *m);
+uint32_t tmx_run_print(char *out, size_t cap, const struct tmx_job *j, uint32_t from, int *len);
+/* A batch's or a page's value: encoded jobs, and lines. */
+void tmx_lines_encode(struct tmx_buf *b, const struct tmx_buf *jobs, size_t n_jobs,
+                      const struct tmx_buf *list, size_t n);
+/* The time at which a batch of this member was last seen; 0: never. */
+double tmx_replica_wrote(const struct tmx_replica *r, const char *node);
 void tmx_view_encode(struct tmx_buf *b, const struct tmx_view *v);
 #define TMX_OP_PLACE 'p'
 #define TMX_OP_STOP 's'
 #define TMX_OP_END 'e'
+/* lines that speak of machines: registered, to be returned or not, gone by proof */
+#define TMX_LINE_MACHINE 'm'
+#define TMX_LINE_DRAIN 'd'
+#define TMX_LINE_GONE 'x'
+#define TMX_LINE_RUN 't' /* of a page: a run of tasks */
 /* how an attempt ended */
 #define TMX_END_DONE 'd'
 #define TMX_END_STOPPED 's'
@@ -177,6 +229,7 @@
   uint32_t task, attempt;
   char machine[TMX_ID_MAX]; /* place */
   char how;                 /* end: TMX_END_*; stop: '1' at once, '2' after saving */
+  uint32_t cap;             /* place, not in the log: tasks of the job that may be on the machine */
 };
 int tmx_op_print(char *out, size_t cap, const struct tmx_op *o);
 bool tmx_op_parse(const char *s, struct tmx_op *o);
--- a/src/user/user.c
+++ b/src/user/user.c
@@ -144,7 +144,7 @@
   /* Conditional on the job's own key, which also its completion rewrites; head is rewritten,
    * so that no batch planned before this can start one of its tasks. */
   tmx_txn_if(&t, key, j->stamp);
-  tmx_job_encode(&v, &j->spec, j->submitted, TMX_FIN_CANCELLED);
+  tmx_job_encode(&v, j->id, &j->spec, j->submitted, TMX_FIN_CANCELLED);
   tmx_txn_put(&t, key, &v, 0);
   tmx_txn_head(&t, c->set.node);
   tmx_buf_free(&v);
@@ -156,9 +156,8 @@
 
 /* ------------------------------------------------------------ submissions */
 
-static void on_submitted(void *arg, int res, uint64_t rev) {
+static void on_submitted(void *arg, int res) {
   struct ask *a = arg;
-  (void)rev;
   if (res == TMX_TXN_OK) {
     if (tmx_log_on(TMX_DEBUG)) tmx_log(TMX_DEBUG, "job: %s accepted", a->id);
     answer_named(a->req, 201, a->id, WV_PENDING, NULL);
@@ -222,9 +221,13 @@
     return;
   }
   struct ask *a = calloc(1, sizeof *a);
-  if (!a || u->waiting >= TMX_USER_QUEUE || tmx_link_budget(c->link) < -c->set.write_rps / 3) {
+  struct tmx_buf v = {0};
+  if (!a) abort();
+  tmx_job_encode(&v, id, &spec, tmx_wall(), TMX_OPEN);
+  if (v.n > c->set.value_kb * 800) {
+    tmx_buf_free(&v);
     free(a);
-    refuse(q);
+    tmx_req_reply(q, 400, NULL, 0);
     return;
   }
   a->u = u;
@@ -232,21 +235,9 @@
   a->kind = ASK_SUBMIT;
   snprintf(a->id, sizeof a->id, "%s", id);
   u->waiting++;
-  struct tmx_txn t = {0};
-  struct tmx_buf v = {0};
-  char key[TMX_KEY_MAX + 1];
-  snprintf(key, sizeof key, TMX_K_JOB "%s", id);
-  tmx_txn_if(&t, key, 0);
-  tmx_job_encode(&v, &spec, tmx_wall(), TMX_OPEN);
-  tmx_txn_put(&t, key, &v, 0);
-  bool big = v.n > c->set.value_kb * 900;
-  tmx_buf_free(&v);
-  if (big) {
-    tmx_buf_free(&t.conds);
-    tmx_buf_free(&t.ops);
-    tmx_req_reply(q, 400, NULL, 0);
-    done(a);
-  } else if (!tmx_link_commit(c->link, &t, true, on_submitted, a)) {
+  if (u->waiting > TMX_USER_QUEUE ||
+      !tmx_rounds_arrival(c, id, &v, TMX_SUBMIT_WAIT_S, on_submitted, a)) {
+    tmx_buf_free(&v);
     refuse(q);
     done(a);
   }
--- /dev/null
+++ b/src/worker/health.c
@@ -0,0 +1,191 @@
+/* The health of workers: each owner asks its own machines in turn, those in doubt first, within a
+ * budget, and tells the others what is wrong. */
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "net/log.h"
+#include "tmx/wire.h"
+#include "worker/worker.h"
+
+static void on_shown(void *arg, int status, const uint8_t *body, size_t len) {
+  struct worker *r = arg;
+  r->probe_busy = false;
+  if (status == 200 && tmx_worker_answer(r, body, len))
+    r->probes_lost = 0;
+  else
+    r->probes_lost++;
+}
+
+static double sign_age(const struct worker *r, double now) {
+  return now - fmax(fmax(r->heard_at, r->reached_at), r->owned_at);
+}
+
+/* How many probes a second this controller may send: a share of its processor. */
+static double probe_rate(const struct tmx_ctl *c) {
+  return fmax(c->set.core_share * TMX_PROBE_SHARE / TMX_PROBE_COST_S, 4);
+}
+
+static void on_introduced(void *arg, int status, const uint8_t *body, size_t len) {
+  struct worker *r = arg;
+  r->in_flight = false;
+  if ((status == 200 || status == 409) && tmx_worker_answer(r, body, len))
+    r->probes_lost = 0;
+  else
+    r->probes_lost++;
+}
+
+/* A command without orders: its answer shows our token, which a report would show only later. That
+ * it may be executed late does no harm. */
+static bool introduce(struct worker *r) {
+  struct tmx_buf b = {0};
+  uint64_t token = tmx_ctl_token(r->w->c, r->bump);
+  if (r->seen > token) return false;
+  tmx_w_map(&b, 3);
+  tmx_w_ku64(&b, W_TOKEN, token);
+  tmx_w_ku64(&b, W_SESSION, r->session);
+  tmx_w_str(&b, W_COMMANDS);
+  tmx_w_list(&b, 0);
+  r->in_flight =
+      tmx_client_call(r->client, "POST", WP_COMMANDS, &b, TMX_PROBE_S, on_introduced, r);
+  tmx_buf_free(&b);
+  return r->in_flight;
+}
+
+static bool probe(struct tmx_workers *w, struct worker *r, const char *addr, double now) {
+  if (r->probe_busy || r->in_flight || w->probe_tokens < 1) return false;
+  if (!tmx_worker_client(r, addr)) return false;
+  w->probe_tokens -= 1;
+  r->probe_at = now;
+  /* in turns with a plain question: a machine that answers only that is up, and not reached */
+  if (r->owned && r->session && !tmx_worker_hears(r) && !(r->probes_lost & 1) && introduce(r))
+    return true;
+  r->probe_busy = tmx_client_call(r->client, "GET", WP_STATUS, NULL, TMX_PROBE_S, on_shown, r);
+  return true;
+}
+
+/* Connections to workers are kept while there are sockets for them. */
+static void close_some(struct tmx_workers *w) {
+  int max = (int)(w->c->set.sockets * TMX_WORKER_CONNS_SHARE);
+  if (w->n_clients <= max) return;
+  struct worker *r, *t;
+  HASH_ITER(hh, w->all, r, t) {
+    if (w->n_clients * 10 <= max * 8) return;
+    if (!r->client || r->in_flight || r->probe_busy) continue;
+    tmx_client_free(r->client);
+    r->client = NULL;
+    w->n_clients--;
+  }
+}
+
+void tmx_workers_tick(struct tmx_workers *w) {
+  struct tmx_ctl *c = w->c;
+  double now = tmx_now(), rate = probe_rate(c);
+  if (now - w->sweep_at < TMX_SWEEP_S) return;
+  w->probe_tokens = fmin(w->probe_tokens + rate * (now - w->sweep_at), rate * 2 * TMX_SWEEP_S);
+  w->sweep_at = now;
+  int self = tmx_ctl_self(c);
+  bool member = tmx_link_member(c->link) && tmx_ctl_fresh(c);
+  double heard_s = c->set.report_s * 1.25 + TMX_REPORT_LATE_S;
+  struct tmx_reach reach = {.report_age = w->report_at ? now - w->report_at : 1e9};
+  struct tmx_machine *m, *t;
+  /* first those in doubt, and what the planner is told */
+  HASH_ITER(hh, c->rep.machines, m, t) {
+    if (!m->known) continue;
+    bool mine = member && m->owner == self && self >= 0, usable;
+    struct worker *r = m->worker;
+    if (mine && !r) {
+      r = tmx_worker_make(w, m->id);
+      if (!r) continue;
+    }
+    if (mine) {
+      tmx_worker_own(w, r);
+      reach.owned++;
+      reach.reached += now - fmax(r->reached_at, r->owned_at) < 3 * fmax(1, reach.owned / rate) + 2;
+      if ((r->probes_lost || !tmx_worker_hears(r)) && now - r->probe_at >= TMX_PROBE_S)
+        probe(w, r, m->addr, now);
+      usable = r->session && tmx_worker_hears(r) && !r->probes_lost && !r->notice &&
+               sign_age(r, now) < heard_s;
+    } else {
+      struct tmx_suspect s;
+      usable = !tmx_workers_suspect(w, m, &s);
+    }
+    if (usable != m->usable) {
+      m->usable = usable;
+      tmx_rounds_machine(c->rounds, m);
+      if (usable) tmx_rounds_kick(c);
+    }
+  }
+  /* then in turn, as far as the budget goes */
+  size_t n = HASH_COUNT(w->all), turns = n;
+  double period = fmax(TMX_PROBE_AFTER_S, reach.owned / rate);
+  struct worker *r = w->probe_from ? w->probe_from : w->all;
+  for (; r && turns-- && w->probe_tokens >= 1; r = r->hh.next ? r->hh.next : w->all) {
+    if (!r->m || !r->m->known) continue;
+    /* a controller that was left out asks a few, to learn when it reaches them again */
+    if (member ? !r->owned : reach.owned >= TMX_REACH_LEAST) continue;
+    if (!member) {
+      reach.owned++;
+      reach.reached += now - r->reached_at < 3;
+    }
+    if (r->probes_lost || now - fmax(r->reached_at, r->probe_at) < (member ? period : 1.0)) continue;
+    probe(w, r, r->m->addr, now);
+  }
+  w->probe_from = r;
+  w->reach = reach;
+  close_some(w);
+}
+
+struct tmx_reach tmx_workers_reach(const struct tmx_workers *w) { return w->reach; }
+
+/* ------------------------------------------------------------ told to and by the others */
+
+static bool suspect(const struct worker *r, double now, double heard_s, struct tmx_suspect *s) {
+  s->silence = sign_age(r, now);
+  s->lost = r->probes_lost;
+  s->unreached = tmx_worker_hears(r) ? 0 : now - fmax(r->owned_at, r->fence_at);
+  s->notice = r->notice;
+  memcpy(s->id, r->id, sizeof s->id);
+  return s->lost || s->unreached > 0 || s->notice || s->silence > heard_s;
+}
+
+void tmx_workers_suspects(struct tmx_workers *w, tmx_each_suspect f, void *arg) {
+  double now = tmx_now(), heard_s = w->c->set.report_s * 1.25 + TMX_REPORT_LATE_S;
+  struct worker *r, *t;
+  HASH_ITER(hh, w->all, r, t) {
+    struct tmx_suspect s;
+    if (r->owned && r->m && r->m->known && suspect(r, now, heard_s, &s)) f(arg, &s);
+  }
+}
+
+void tmx_workers_peer_says(struct tmx_workers *w, const char *node, const struct tmx_suspect *s) {
+  struct worker *r;
+  HASH_FIND_STR(w->all, s->id, r);
+  if (!r) {
+    if (!tmx_machine_find(&w->c->rep, s->id)) return;
+    r = tmx_worker_make(w, s->id);
+    if (!r) return;
+  }
+  r->said = *s;
+  r->said_at = tmx_now();
+  snprintf(r->said_by, sizeof r->said_by, "%s", node);
+}
+
+bool tmx_workers_suspect(const struct tmx_workers *w, const struct tmx_machine *m,
+                         struct tmx_suspect *out) {
+  const struct worker *r = m->worker;
+  double now = tmx_now();
+  if (!r || m->owner < 0) return false;
+  if (m->owner == tmx_ctl_self(w->c))
+    return suspect(r, now, w->c->set.report_s * 1.25 + TMX_REPORT_LATE_S, out);
+  const char *owner = w->c->rep.view.members[m->owner].name;
+  /* in its latest heartbeat, or not at all */
+  if (!r->said_at || strcmp(r->said_by, owner) ||
+      now - r->said_at > tmx_peers_silence(w->c->peers, owner) + 0.05 ||
+      now - r->said_at > TMX_BEAT_LOST_S)
+    return false;
+  *out = r->said;
+  out->silence += now - r->said_at;
+  return true;
+}
--- a/tests/fake.c
+++ b/tests/fake.c
@@ -244,6 +244,20 @@
   }
 }
 
+bool fake_logged(const char *line) {
+  char s[128];
+  bool found = false;
+  for (size_t i = 0; i < state.n_e && !found; i++) {
+    if (strncmp(state.e[i].key, TMX_K_BATCH, strlen(TMX_K_BATCH))) continue;
+    cbor_item_t *m = tmx_cbor_parse(state.e[i].value, state.e[i].len);
+    const cbor_item_t *ops = tmx_r_get(m, "ops");
+    for (size_t k = 0; k < tmx_r_len(ops); k++)
+      found |= tmx_r_str(tmx_r_at(ops, k), s, sizeof s) && !strcmp(s, line);
+    tmx_cbor_free(m);
+  }
+  return found;
+}
+
 unsigned fake_placed(void) {
   unsigned n = 0;
   char s[128];
