A job's last end that does not fit no longer holds the whole log up

Cause: the last end of a job needs a put more; when a turn's budget gave one value, the first such end broke the batch off, round after round. Now the others go on without it and the next round waits for enough puts.

--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -573,7 +573,7 @@
   /* a guarantee covers the team's earliest unfinished jobs */
   struct pj **order = calloc(n + 1, sizeof *order);
   if (!order) abort();
-  memcpy(order, md->open, n * sizeof *order);
+  for (size_t i = 0; i < n; i++) order[i] = md->open[i];
   qsort(order, n, sizeof *order, by_submission);
   for (size_t i = 0; i < n; i++) {
     struct pj *j = order[i];
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -37,6 +37,7 @@
   struct arrival *arrivals[TMX_ARRIVALS_MAX];
   size_t n_arrivals;
   double round_at, wait_rev_at;
+  double puts; /* that the next batch needs at least */
   uint64_t wait_rev; /* the next step needs the replica to be here */
   int resent;
   uint64_t key_seq, key_mark;
@@ -535,9 +536,10 @@
   struct batch b = {.p = p, .value_max = (size_t)(c->set.value_kb * 1024 * 0.85)};
   char line[TMX_LINE_MAX];
   double budget = tmx_link_budget(c->link);
-  struct tmx_job *finished[64];
+  struct tmx_job *finished[TMX_FINISHED_MAX];
   size_t n_fin = 0, placed = 0;
-  bool more = false;
+  bool more = false, later = false;
+  p->puts = TMX_ROUND_PUTS;
   for (size_t i = 0; i < p->n_lines; i++) p->lines[i].sent = false;
   b.spare = c->set.txn_ops - 1;
   if (budget < b.spare + 1) b.spare = (int)floor(budget) - 1;
@@ -547,16 +549,24 @@
   add_arrivals(p, &b);
   for (size_t i = 0; i < p->n_ends; i++) {
     const struct tmx_op *o = &p->ends[i];
-    if (!tmx_check_op(&check, o)) continue;
     struct tmx_task *t = task_of(r, o);
+    if (!t || t->state != TMX_PLACED || t->attempt != o->attempt) continue;
     /* the last task's end and the job's final state are one transaction */
     bool last = o->how == TMX_END_DONE && !t->job->fin &&
                 t->job->n_done + t->job->n_ending + 1 == t->job->spec.tasks;
     tmx_op_print(line, sizeof line, o);
-    if ((last && n_fin == 64) || !add_line(&b, line, last)) {
+    /* A job's last end needs a put more. When there is none for it the others go on without it, and
+     * the next round waits for enough: or one such end would hold the whole log up for good. */
+    if (last && (n_fin == TMX_FINISHED_MAX || b.spare < 2)) {
+      p->puts = TMX_ROUND_PUTS + 1;
+      later = true;
+      continue;
+    }
+    if (!add_line(&b, line, last)) {
       more = true;
       break;
     }
+    tmx_check_op(&check, o);
     if (o->how == TMX_END_DONE && !t->job->fin) t->job->n_ending++;
     if (!last) continue;
     finished[n_fin++] = t->job;
@@ -601,7 +611,7 @@
   tmx_buf_free(&b.list);
   tmx_buf_free(&b.jobs);
   tmx_buf_free(&b.v);
-  p->plan.cut |= more;
+  p->plan.cut |= more || later;
   if (!b.t.n_ops) {
     bool cut = p->plan.cut;
     tmx_buf_free(&b.t.conds);
@@ -664,8 +674,8 @@
   double now = tmx_now(), budget = tmx_link_budget(c->link);
   /* Rounds are paced by this member's share of the puts. Submissions draw on it too; a round a
    * second goes out in any case, or nothing accepted would ever start. */
-  if (budget < TMX_ROUND_PUTS && now - p->round_at < 1.0) {
-    tmx_rounds_kick_in(c, fmin(tmx_link_budget_in(c->link, TMX_ROUND_PUTS), 1.0));
+  if (budget < p->puts && now - p->round_at < 1.0) {
+    tmx_rounds_kick_in(c, fmin(tmx_link_budget_in(c->link, p->puts), 1.0));
     return;
   }
   double wait = turn(p);
@@ -715,6 +725,7 @@
   pthread_attr_t a;
   if (!p) abort();
   p->c = c;
+  p->puts = TMX_ROUND_PUTS;
   pthread_mutex_init(&p->lock, NULL);
   pthread_cond_init(&p->more, NULL);
   ev_timer_init(&p->timer, on_timer, 0, 0);
