Room freed for a service is held by all; unused puts are shared; more machines returned at a time

Members that do not lead now hold room on paper for others' jobs that stand before arrays. The leader takes at once what finds no room in its part.

--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -21,7 +21,9 @@
 /* --- state service (s unless said) --- */
 #define TMX_PUT_BURST_S 1.0           /* puts saved up for this long: all together stay within the
                                          service's burst of a second */
-#define TMX_RICH 0.85                 /* of what may be saved up: batches need not keep to turns */
+#define TMX_PUT_BURST_LEAST 4.5       /* puts: a batch with two values, head and a job's final state */
+#define TMX_RICH 0.55                 /* of the service's burst unused: batches need not keep to turns */
+#define TMX_POOL_KEPT 0.4             /* ... that is left to the others */
 #define TMX_TURN_PUTS 2.4             /* puts of a usual batch: sets the length of a turn */
 #define TMX_TURN_BEGIN 0.45           /* of a turn: a round begins within this, the rest is for planning,
                                          sending and clocks that differ */
@@ -55,9 +57,9 @@
 #define TMX_RESENDS 6                 /* of a batch that lost the race for head; then planned anew */
 #define TMX_REGISTER_MAX 256          /* machines registered in one batch */
 #define TMX_PLAN_VISITS 400000        /* machines and tasks looked at in one round: about 20 ms */
-#define TMX_BEGIN_S 100.0             /* a job that waited this long gets a first task, and a share of the
+#define TMX_BEGIN_S 150.0             /* a job that waited this long gets a first task, and a share of the
                                          room with others as old: the largest begin within four minutes */
-#define TMX_LANE_SHARE 0.25           /* of the tasks placed: that share for the oldest jobs */
+#define TMX_LANE_SHARE 0.1            /* of the tasks placed: that share for the oldest jobs */
 #define TMX_MOVES_LEAST 2             /* replicas down at a time because machines are returned ... */
 #define TMX_MOVES_SHARE 0.002         /* ... or this share of all replicas */
 #define TMX_ROUND_IDLE_S 2.0          /* the paper's draft period: a round without an event */
@@ -85,7 +87,7 @@
 #define TMX_TAKE_HOLD_S 0.6           /* a report waits this long for the view that takes its worker */
 #define TMX_VIEW_SPACING_S 0.15       /* between two views of one controller */
 #define TMX_REPORT_LATE_S 1.0         /* past report_s and a quarter: a report is missing */
-#define TMX_PROBE_AFTER_S 1.2         /* no proof of reaching a machine for this long: it is asked ... */
+#define TMX_PROBE_AFTER_S 0.6         /* no proof of reaching a machine for this long: it is asked ... */
 #define TMX_PROBE_SHARE 0.12          /* ... as far as this share of the processor goes */
 #define TMX_PROBE_COST_S 0.00025      /* processor time of a probe, measured */
 #define TMX_PROBE_S 0.5               /* between probes in doubt, and the wait for an answer */
@@ -129,13 +131,14 @@
 #define TMX_ROOM_TO_MOVE 2.0          /* times a machine's replicas must be free in its zone first */
 #define TMX_ROOM_AFTER 0.2            /* ... and this share of the zone's part of the peak */
 #define TMX_DRAIN_SPACING_S 3.0       /* between two choices of machines to be returned ... */
-#define TMX_DRAIN_SHARE 0.006         /* ... one, and this share of all */
+#define TMX_DRAIN_SHARE 0.03          /* ... and the share of all CPUs in one choice; one machine at least */
 #define TMX_HIRE_MAX 50               /* machines; PROTOCOL's limit of one request */
 #define TMX_HIRES_ROUND 1024          /* machines rented in one weighing */
 #define TMX_DELETE_MAX 100            /* machines; PROTOCOL's limit of one request */
 #define TMX_UNREACHED_LEASES 0.5      /* of a lease: a machine that is heard and not reached is replaced */
 #define TMX_NEVER_HEARD_S 25.0        /* listed as running and silent for this long, and two reports */
 #define TMX_BOOT_LATE 4.0             /* times boot_s: a machine that boots longer is returned */
+#define TMX_USE_LOG_S 10.0            /* between lines about what is rented and used */
 #define TMX_HEADROOM 0.08             /* of the room booked by services, kept free for restarts */
 
 #endif
--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -65,7 +65,7 @@
   uint64_t hire_seq;
   double booked[TMX_PEAK_S]; /* CPUs booked and asked for, the most in each of the last seconds */
   int booked_at;             /* second of the latest entry */
-  double drain_at;
+  double drain_at, use_at;
   double cut_until[TMX_ZONES_MAX]; /* zones that seem cut off */
 };
 
@@ -516,7 +516,8 @@
   double now = tmx_now(), peak = peak_booked(k, now, booked), have = 0;
   double zone_free[TMX_ZONES_MAX] = {0};
   struct tmx_machine *m, *mt;
-  size_t draining = 0, n = 0, known = 0;
+  size_t n = 0, known = 0;
+  double draining = 0, returning = 0;
   if (now - k->led_since < TMX_PEAK_S || now - k->drain_at < TMX_DRAIN_SPACING_S) return;
   k->drain_at = now;
   HASH_ITER(hh, r->machines, m, mt) {
@@ -528,14 +529,14 @@
       if (waiting && m->tasks && !(m->errors >= TMX_SICK_ERRORS && m->error_two))
         drain(k, m, false);
       else
-        draining++;
+        draining += t->cpus;
       continue;
     }
     have += t->cpus;
     if (m->zone >= 0 && !m->spot) zone_free[m->zone] += t->cpus - m->cpus;
   }
-  size_t step = 1 + (size_t)(TMX_DRAIN_SHARE * (double)known);
-  if (waiting || draining >= 3 * step) return;
+  double step = TMX_DRAIN_SHARE * have;
+  if (waiting) return;
   struct choice *v = calloc(known + 1, sizeof *v);
   if (!v) abort();
   HASH_ITER(hh, r->machines, m, mt) {
@@ -553,16 +554,49 @@
                                     (1.2 - m->cpus / t->cpus) * (1 - 0.5 * services / t->cpus)};
   }
   qsort(v, n, sizeof *v, dearest);
-  for (size_t i = 0; i < n && step; i++) {
-    double cpus = tmx_cloud_type(k, v[i].m->type)->cpus;
+  /* Machines with replicas go a few at a time: every one of them is a restart for somebody. */
+  for (size_t i = 0; i < n && returning < step; i++) {
+    struct tmx_machine *x = v[i].m;
+    double cpus = tmx_cloud_type(k, x->type)->cpus;
+    bool holds = false;
+    for (struct tmx_task *t = x->tasks; t && !holds; t = t->next) holds = t->job->spec.service;
     if (have - cpus < peak * (1 + TMX_ROOM_OVER_PEAK)) continue;
+    if (holds && draining > 0 && draining + cpus > step) continue;
+    if (holds) draining += cpus;
     have -= cpus;
-    drain(k, v[i].m, true);
-    step--;
+    returning += cpus;
+    drain(k, x, true);
   }
   free(v);
 }
 
+/* What an operator wants to see over a day: what is rented and what of it is used. */
+static void log_use(struct tmx_cloud *k, double now) {
+  double cpus[2] = {0, 0}, booked[2] = {0, 0}, drain = 0, services = 0, waiting = 0;
+  size_t n = 0, unusable = 0;
+  struct tmx_machine *m, *mt;
+  struct tmx_job *j, *jt;
+  if (!tmx_log_on(TMX_INFO) || now - k->use_at < TMX_USE_LOG_S) return;
+  k->use_at = now;
+  HASH_ITER(hh, k->c->rep.machines, m, mt) {
+    const struct tmx_type *t = tmx_cloud_type(k, m->type);
+    if (!m->known || !t) continue;
+    n++;
+    unusable += !m->usable;
+    cpus[m->spot] += t->cpus;
+    booked[m->spot] += m->cpus;
+    if (m->drain) drain += t->cpus;
+    for (struct tmx_task *x = m->tasks; x; x = x->next)
+      if (x->job->spec.service) services += x->job->spec.cpus;
+  }
+  HASH_ITER(hh, k->c->rep.jobs, j, jt)
+  if (!j->fin) waiting += (j->spec.tasks - j->n_done - j->n_placed) * j->spec.cpus;
+  tmx_log(TMX_INFO,
+          "use: %zu machines (%zu not usable), CPUs booked %.0f of %.0f, spot %.0f of %.0f, services "
+          "%.0f, being returned %.0f, waiting %.0f",
+          n, unusable, booked[0], cpus[0], booked[1], cpus[1], services, drain, waiting);
+}
+
 static void sweep(struct tmx_cloud *k) {
   struct tmx_ctl *c = k->c;
   struct tmx_replica *r = &c->rep;
@@ -731,6 +765,7 @@
     k->sweep_at = now;
     sweep(k);
   }
+  log_use(k, now);
   if (now - k->rent_at > TMX_RENT_S && k->n_types) {
     k->rent_at = now;
     if (!k->hires_busy && now - k->led_since > TMX_LIST_S) weigh(k);
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -48,7 +48,7 @@
   const struct tmx_spec *s;
   int what;
 };
-enum { OWN, ANY, SOON, VICTIMS, SETS };
+enum { OWN, ANY, SOON, VICTIMS, SETS }; /* the first three in this order: see place */
 #define SHAPES 48
 #define COLD 10.0     /* added to the measure of a machine where a fetch would make it late */
 #define AVOIDED 100.0 /* ... where the job failed lately */
@@ -304,7 +304,7 @@
 /* May the job's next task go there; v: its value. */
 static bool judge(struct round *r, const struct pj *j, struct pm *p, int what, double *v) {
   if (!p->r.usable || p->r.drain) return false;
-  if (what == OWN && p->r.owner != r->in->self) return false;
+  if (what == OWN && p->r.owner != j->r.planner) return false;
   if (what != VICTIMS && !room(p, j->r.spec, what == SOON)) return false;
   if (j->r.spec->service && live_on(j, p) >= r->cap) return false;
   *v = value(r, j, p);
@@ -458,7 +458,12 @@
   bool grace = in->now - j->r.stuck_since <= in->grace;
   uint32_t placed = 0;
   if (j->next_wait >= j->r.n_waits || j->r.team < 0 || j->r.retry_at > in->now) return 0;
-  if (!mine && (!in->leading || grace)) return 0; /* its own controller goes first */
+  /* Another's job that stands before the arrays here is given its room on paper, or what the leader
+   * frees for it would be filled again at once. */
+  bool aside = !mine && !in->leading;
+  if (aside && !standing(j)) return 0;
+  /* while its own controller may still get to it, the leader takes only what finds no room there */
+  bool theirs = !mine && grace;
   begin_job(r, j);
   while (j->next_wait < j->r.n_waits && placed < max) {
     if (r->out->n_ops >= in->max_ops || r->visits > TMX_PLAN_VISITS) {
@@ -466,7 +471,19 @@
       break;
     }
     if (!quota_ok(r, j)) return placed; /* waits for its own team: more machines would not help */
-    int m = mine ? best(r, j, OWN, true) : -1;
+    int m = best(r, j, OWN, true);
+    if (aside) {
+      for (int k = 1; m < 0 && k < 6; k++) m = best(r, j, k % 3, k < 3);
+      if (m < 0) return placed;
+      take(r, j, m, true);
+      j->next_wait++;
+      continue;
+    }
+    if (theirs && (m >= 0 || (standing(j) != 2 && (m = best(r, j, OWN, false)) >= 0))) {
+      take(r, j, m, true); /* room that the other is about to use */
+      j->next_wait++;
+      continue;
+    }
     /* too large for its part: the leader looks in every part */
     if (m < 0 && in->leading) m = best(r, j, ANY, true);
     if (m < 0 && standing(j) == 2) {
@@ -478,7 +495,7 @@
       }
       if (!in->leading && grace) break;
     }
-    if (m < 0 && mine) m = best(r, j, OWN, false);
+    if (m < 0) m = best(r, j, OWN, false);
     if (m < 0 && in->leading) m = best(r, j, ANY, false);
     if (m >= 0) {
       struct tmx_plan_wait *w = &j->r.waits[j->next_wait++];
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -284,7 +284,8 @@
   in->self = tmx_ctl_self(c);
   in->leading = tmx_link_leading(c->link);
   in->n_zones = c->set.n_zones;
-  in->grace = TMX_LEADER_GRACE_S + turn_s(c) * (double)(r->view.n_members + 1);
+  in->grace = TMX_LEADER_GRACE_S;
+  if (!tmx_link_rich(c->link)) in->grace += turn_s(c) * (double)(r->view.n_members + 1);
   in->n_teams = c->set.n_teams;
   memcpy(in->teams, c->set.teams, sizeof in->teams);
   memcpy(in->usage, r->usage, sizeof in->usage);
@@ -480,7 +481,7 @@
   if (idle <= TMX_DIRECT_MAX && c->rep.loaded && !p->sending && caught_up(p)) {
     for (size_t i = 0; i < p->n_arrivals; i++) {
       struct arrival *a = p->arrivals[i];
-      if (a->direct || a->sent || a->tries >= TMX_DIRECT_TRIES || tmx_link_budget(c->link) < 1)
+      if (a->direct || a->sent || a->tries >= TMX_DIRECT_TRIES || tmx_link_budget(c->link) < 0)
         continue;
       struct tmx_txn t = {0};
       char key[TMX_KEY_MAX + 1];
--- a/src/state/link.c
+++ b/src/state/link.c
@@ -53,6 +53,7 @@
   int n_waiters;
   /* write budget */
   double tokens, tokens_at;
+  double pool, pool_at; /* the service's own bucket of puts, as the events of all tell */
   double watch_tokens, watch_at;
   char suspect[TMX_NAME_MAX];
   bool stand_back;
@@ -61,6 +62,7 @@
 static void start_load(struct tmx_link *k);
 static void start_watch(struct tmx_link *k);
 static void start_read(struct tmx_link *k);
+static void refill(struct tmx_link *k);
 
 /* ------------------------------------------------------------ loading */
 
@@ -187,6 +189,8 @@
   }
   const cbor_item_t *ev = tmx_r_get(m, W_EVENTS);
   k->rep->now = tmx_now();
+  refill(k);
+  k->pool -= (double)tmx_r_len(ev);
   for (size_t i = 0; i < tmx_r_len(ev); i++) {
     const cbor_item_t *e = tmx_r_at(ev, i);
     char key[TMX_PATH_MAX];
@@ -355,28 +359,30 @@
 }
 
 static void refill(struct tmx_link *k) {
-  double now = tmx_now(), rate = put_rate(k);
-  double burst = fmax(rate * TMX_PUT_BURST_S, 3); /* together less than the service's one second */
+  double now = tmx_now(), rate = put_rate(k), all = k->set->write_rps;
+  k->pool = fmin(fmax(k->pool, -all) + (now - k->pool_at) * all, all);
+  k->pool_at = now;
+  double burst = fmax(rate * TMX_PUT_BURST_S, TMX_PUT_BURST_LEAST); /* together less than the service's one second */
   k->tokens = fmin(k->tokens + (now - k->tokens_at) * rate, burst);
   k->tokens_at = now;
 }
 
+/* This controller's share, or, while the others leave theirs unused, half of what is free. */
 double tmx_link_budget(struct tmx_link *k) {
   refill(k);
-  return k->tokens;
+  return fmax(k->tokens, (k->pool - k->set->write_rps * TMX_POOL_KEPT) / 2);
 }
 double tmx_link_budget_in(struct tmx_link *k, double puts) {
-  refill(k);
-  return fmax(0, (puts - k->tokens) / put_rate(k)) + 0.002;
+  return fmax(0, (puts - tmx_link_budget(k)) / put_rate(k)) + 0.002;
 }
 bool tmx_link_spare(struct tmx_link *k) {
   refill(k);
-  return k->tokens > fmax(put_rate(k) * TMX_PUT_BURST_S, 3) * TMX_FOLD_SPARE;
+  return k->tokens > fmax(put_rate(k) * TMX_PUT_BURST_S, TMX_PUT_BURST_LEAST) * TMX_FOLD_SPARE;
 }
-/* So little was put of late that others hardly are in the way. */
+/* So little was put of late, by all, that others are hardly in the way. */
 bool tmx_link_rich(struct tmx_link *k) {
   refill(k);
-  return k->tokens > fmax(put_rate(k) * TMX_PUT_BURST_S, 3) * TMX_RICH;
+  return k->pool > k->set->write_rps * TMX_RICH;
 }
 
 static void on_txn(void *arg, int status, const uint8_t *body, size_t len) {
@@ -397,6 +403,7 @@
   if (status == 400) tmx_log(TMX_ERROR, "state: a transaction was refused: %s", why);
   if (status == 429) { /* others used more than their share */
     if (p->k->tokens > 0) p->k->tokens = 0;
+    p->k->pool = 0;
     tmx_log(TMX_INFO, "state: too many puts");
   }
   if (p->cb) p->cb(p->arg, res, rev);
@@ -408,7 +415,7 @@
   bool ok = false;
   refill(k);
   if (urgent || k->tokens >= t->n_ops) {
-    k->tokens -= t->n_ops;
+    k->tokens = fmax(k->tokens - t->n_ops, -put_rate(k));
     tmx_w_map(&b, 2);
     tmx_w_str(&b, W_IF);
     tmx_w_list(&b, (size_t)t->n_conds);
@@ -562,7 +569,7 @@
   k->rep = r;
   k->watch = tmx_client_new(loop, s->state, 2);
   k->calls = tmx_client_new(loop, s->state, 24);
-  k->tokens_at = k->watch_at = tmx_now();
+  k->tokens_at = k->watch_at = k->pool_at = tmx_now();
   k->tokens = 4;
   k->last_read = -TMX_CONFIRM_IDLE_S;
   k->lease_at = -TMX_LEASE_RENEW_S;
