--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -65,7 +65,9 @@
 #define TMX_ROUND_IDLE_S 2.0          /* the paper's draft period: a round without an event */
 #define TMX_ENDS_DELAY_S 0.25         /* completions wait this long to share a batch */
 #define TMX_LEADER_GRACE_S 0.2        /* a job's own controller goes first this long, and one full turn */
-#define TMX_WRITE_SHARE 0.85          /* of the write rate: the rest is for submissions */
+#define TMX_WRITE_SHARE 0.8           /* of the write rate for batches; some is left for lost races */
+#define TMX_SUBMIT_SHARE 0.08         /* ... for submissions that go out singly ... */
+#define TMX_SUBMIT_BURST 3.0          /* ... so many at once */
 #define TMX_PATIENCE_S 10.0           /* a start without an aim: fetching this long is like a full
                                          machine */
 #define TMX_NO_AIM_S 600.0            /* when a job of a class without an aim counts as late */
@@ -77,6 +79,7 @@
 #define TMX_BUMP_MAX ((1u << TMX_BUMP_BITS) - 1)
 #define TMX_COMMAND_TIMEOUT_S 1.5     /* unanswered after this: bump the token */
 #define TMX_WORKERS_MAX 8192          /* machines known at a time */
+#define TMX_GONE_KEPT 8192            /* names of machines that are gone, for late copies of reports */
 #define TMX_ORDERS_MAX 400            /* orders in one answer */
 #define TMX_WORKER_CONNS_SHARE 0.3    /* of the sockets: connections kept to workers */
 #define TMX_TAKE_AFTER_S 3.5          /* a worker that is back this long after being sent to its owner
@@ -114,6 +117,7 @@
 #define TMX_SUBMIT_WAIT_S 2.5         /* a waiting submission is refused; users wait 5 s */
 #define TMX_RETRY_AFTER_MIN 1         /* s; spread of Retry-After so that returns come apart */
 #define TMX_RETRY_AFTER_SPAN 2        /* s */
+#define TMX_POLL_FAIR_S 20.0          /* a job of which nobody was told for this long goes first */
 #define TMX_USER_QUEUE 400            /* requests waiting for the state; more are refused at once */
 
 /* --- cloud (s) --- */
@@ -132,6 +136,8 @@
 #define TMX_ROOM_AFTER 0.2            /* ... and this share of the zone's part of the peak */
 #define TMX_DRAIN_SPACING_S 3.0       /* between two choices of machines to be returned ... */
 #define TMX_DRAIN_SHARE 0.03          /* ... and the share of all CPUs in one choice; one machine at least */
+#define TMX_CLEAR_S 10.0              /* a backlog that is cleared in this time needs no new machines ... */
+#define TMX_CLEAR_DEAR_S 40.0         /* ... and no ordinary ones in this, if spot ones would do */
 #define TMX_HIRE_MAX 50               /* machines; PROTOCOL's limit of one request */
 #define TMX_HIRES_ROUND 1024          /* machines rented in one weighing */
 #define TMX_DELETE_MAX 100            /* machines; PROTOCOL's limit of one request */
--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -431,6 +431,7 @@
     const struct tmx_type *t = tmx_cloud_type(k, l->type);
     m = tmx_machine_find(r, l->id);
     if (!t || l->state == LS_FAILED || l->deleting || (m && m->known)) continue;
+    have += t->cpus;
     cm[n_c++] = (struct tmx_coming){t, l->zone, l->spot, t->cpus, t->gpus, t->mem};
   }
   for (size_t i = 0; i < k->n_types; i++)
@@ -662,7 +663,7 @@
               (x.silence > c->set.lease_s && lapsed)))
       why = "silent";
     else if (settled && doubt && now > k->cut_until[m->zone < 0 ? 0 : m->zone] &&
-             fmax(x.unreached, x.lost * TMX_PROBE_S) > c->set.lease_s * TMX_UNREACHED_LEASES)
+             x.unreached > c->set.lease_s * TMX_UNREACHED_LEASES)
       why = "heard, and not reached";
     else if (m->drain && !m->tasks)
       why = "drained";
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -481,7 +481,7 @@
   if (idle <= TMX_DIRECT_MAX && c->rep.loaded && !p->sending && caught_up(p)) {
     for (size_t i = 0; i < p->n_arrivals; i++) {
       struct arrival *a = p->arrivals[i];
-      if (a->direct || a->sent || a->tries >= TMX_DIRECT_TRIES || tmx_link_budget(c->link) < 0)
+      if (a->direct || a->sent || a->tries >= TMX_DIRECT_TRIES || !tmx_link_submit(c->link))
         continue;
       struct tmx_txn t = {0};
       char key[TMX_KEY_MAX + 1];
--- a/src/state/link.c
+++ b/src/state/link.c
@@ -45,7 +45,7 @@
   /* watching */
   bool watching;
   /* confirming */
-  bool reading;
+  bool reading, unserved; /* unserved: the latest read was refused or lost */
   double read_began, last_read, confirmed;
   uint64_t pend_need; /* a read's revision that the replica has not reached */
   double pend_began, pend_since;
@@ -53,6 +53,7 @@
   int n_waiters;
   /* write budget */
   double tokens, tokens_at;
+  double submits; /* puts kept apart for submissions */
   double pool, pool_at; /* the service's own bucket of puts, as the events of all tell */
   double watch_tokens, watch_at;
   char suspect[TMX_NAME_MAX];
@@ -241,6 +242,7 @@
   k->reading = false;
   cbor_item_t *m = status == 200 ? tmx_cbor_parse(body, len) : NULL;
   uint64_t rev;
+  k->unserved = status != 200 && status != 429;
   if (m && tmx_r_ku64(m, W_REVISION, &rev)) {
     struct waiter *w;
     DL_FOREACH(k->waiters, w) if (!w->need && w->asked <= k->read_began) w->need = rev;
@@ -268,7 +270,8 @@
 static void start_read(struct tmx_link *k) {
   if (k->reading || ev_is_active(&k->confirm_t)) return;
   struct waiter *w;
-  bool wanted = tmx_now() - k->last_read > TMX_CONFIRM_IDLE_S;
+  bool wanted =
+      tmx_now() - k->last_read > (k->unserved ? TMX_STATE_RETRY_S : TMX_CONFIRM_IDLE_S);
   DL_FOREACH(k->waiters, w) if (!w->need) wanted = true;
   if (!wanted) return;
   double wait = k->last_read + sharers(k) / (k->set->state_rps * TMX_CONFIRM_SHARE) - tmx_now();
@@ -311,6 +314,7 @@
 }
 
 double tmx_link_confirmed(const struct tmx_link *k) { return k->confirmed; }
+bool tmx_link_served(const struct tmx_link *k) { return !k->unserved; }
 uint64_t tmx_link_inc(const struct tmx_link *k) { return k->inc; }
 bool tmx_link_member(const struct tmx_link *k) {
   const struct tmx_member *m = tmx_member_find(k->rep, k->set->node);
@@ -364,6 +368,8 @@
   k->pool_at = now;
   double burst = fmax(rate * TMX_PUT_BURST_S, TMX_PUT_BURST_LEAST); /* together less than the service's one second */
   k->tokens = fmin(k->tokens + (now - k->tokens_at) * rate, burst);
+  k->submits = fmin(k->submits + (now - k->tokens_at) * k->set->write_rps * TMX_SUBMIT_SHARE / sharers(k),
+                    TMX_SUBMIT_BURST);
   k->tokens_at = now;
 }
 
@@ -379,6 +385,17 @@
   refill(k);
   return k->tokens > fmax(put_rate(k) * TMX_PUT_BURST_S, TMX_PUT_BURST_LEAST) * TMX_FOLD_SPARE;
 }
+/* Takes a put for a submission; false: there is none for it now. */
+bool tmx_link_submit(struct tmx_link *k) {
+  refill(k);
+  if (k->submits < 1 && tmx_link_budget(k) < 1) return false;
+  if (k->submits >= 1) {
+    k->submits -= 1;
+    k->tokens += 1; /* which the commit takes */
+  }
+  return true;
+}
+
 /* So little was put of late, by all, that others are hardly in the way. */
 bool tmx_link_rich(struct tmx_link *k) {
   refill(k);
--- a/src/state/link.h
+++ b/src/state/link.h
@@ -13,6 +13,8 @@
 /* When state was last known to be complete here: the time at which a revision read began that
  * the replica has caught up with. 0: never. */
 double tmx_link_confirmed(const struct tmx_link *k);
+/* Was the latest read answered: if not, nothing that needs the state is decided here now. */
+bool tmx_link_served(const struct tmx_link *k);
 uint64_t tmx_link_inc(const struct tmx_link *k); /* version of our node key; 0: none */
 bool tmx_link_member(const struct tmx_link *k);  /* in the view with this very run */
 bool tmx_link_leading(const struct tmx_link *k);
@@ -39,6 +41,7 @@
 bool tmx_link_commit(struct tmx_link *k, struct tmx_txn *t, bool urgent, tmx_txn_cb cb, void *arg);
 double tmx_link_budget(struct tmx_link *k); /* puts that may be sent now */
 double tmx_link_budget_in(struct tmx_link *k, double puts); /* s until so many may be sent */
+bool tmx_link_submit(struct tmx_link *k); /* before the commit of a single submission */
 bool tmx_link_rich(struct tmx_link *k);  /* hardly any of its share is used */
 bool tmx_link_spare(struct tmx_link *k); /* there is room for housekeeping */
 /* This controller is in no state to lead: it does not try to. */
--- a/src/state/replica.c
+++ b/src/state/replica.c
@@ -44,6 +44,7 @@
   }
   log_keys_clear(&r->batches);
   log_keys_clear(&r->pages);
+  log_keys_clear(&r->gone);
   HASH_CLEAR(hh, r->view.taken);
   free(r->view.exceptions);
   free(r->slots_m);
@@ -77,6 +78,12 @@
   return m;
 }
 
+bool tmx_machine_gone(const struct tmx_replica *r, const char *id) {
+  struct tmx_log_key *k;
+  HASH_FIND_STR(r->gone, id, k);
+  return k != NULL;
+}
+
 const struct tmx_member *tmx_member_find(const struct tmx_replica *r, const char *name) {
   for (size_t i = 0; i < r->view.n_members; i++)
     if (!strcmp(r->view.members[i].name, name)) return &r->view.members[i];
@@ -618,6 +625,8 @@
     touched(r, m);
   } else {
     if (sscanf(line, "x %31s", id) != 1) return;
+    if (HASH_COUNT(r->gone) >= TMX_GONE_KEPT) keep_key(&r->gone, r->gone->key, 0, false);
+    keep_key(&r->gone, id, 1, true);
     struct tmx_machine *m = tmx_machine_find(r, id);
     if (!m) return;
     m->known = false;
--- a/src/state/replica.h
+++ b/src/state/replica.h
@@ -149,6 +149,8 @@
   char leader[TMX_NAME_MAX];
   uint64_t leader_stamp, leader_inc;
   struct tmx_log_key *batches, *pages;
+  struct tmx_log_key *gone; /* machines gone by proof, the latest ones: late copies of their reports
+                               must not bring them back. Names are never used again */
   uint64_t fold_stamp, fold_mark, fold_gen; /* batches up to this version are in the pages of this fold */
   struct tmx_wrote { /* who committed a batch of late: a sign of life */
     char node[TMX_NAME_MAX];
@@ -186,6 +188,7 @@
 
 struct tmx_job *tmx_job_find(const struct tmx_replica *r, const char *id);
 struct tmx_machine *tmx_machine_find(const struct tmx_replica *r, const char *id);
+bool tmx_machine_gone(const struct tmx_replica *r, const char *id);
 const char *tmx_owner_of(const struct tmx_replica *r, const char *machine); /* NULL: no view */
 const char *tmx_planner_of(const struct tmx_replica *r, const char *job);
 int tmx_planner_index(const struct tmx_replica *r, const char *job); /* -1: no view */
--- a/src/user/user.c
+++ b/src/user/user.c
@@ -33,9 +33,10 @@
 }
 void tmx_users_free(struct tmx_users *u) { free(u); }
 
-static void refuse(struct tmx_req *q) {
+static void refuse(struct tmx_req *q, const char *why) {
   if (tmx_log_on(TMX_DEBUG))
-    tmx_log(TMX_DEBUG, "user: %s refused for now", q->method == HTTP_POST ? "request" : "poll");
+    tmx_log(TMX_DEBUG, "user: %s refused for now: %s",
+            q->method == HTTP_POST ? "request" : "poll", why);
   tmx_req_reply(q, 503, NULL, tmx_retry_after());
 }
 
@@ -53,7 +54,8 @@
   tmx_buf_free(&b);
 }
 
-static void answer_job(struct tmx_req *q, const struct tmx_job *j) {
+static void answer_job(struct tmx_req *q, struct tmx_job *j) {
+  j->answered_at = tmx_now();
   const char *s = j->fin == TMX_FIN_DONE        ? WV_DONE
                   : j->fin == TMX_FIN_CANCELLED ? WV_CANCELLED
                   : j->n_placed                 ? WV_RUNNING
@@ -81,7 +83,7 @@
   struct ask *a = arg;
   struct tmx_job *j = ok ? tmx_job_find(&a->u->c->rep, a->id) : NULL;
   if (!ok)
-    refuse(a->req);
+    refuse(a->req, "the state was not read in time");
   else if (!j)
     tmx_req_reply(a->req, a->otherwise, NULL, a->otherwise == 503 ? tmx_retry_after() : 0);
   else if (a->kind == ASK_CANCEL && !j->fin) {
@@ -97,10 +99,16 @@
 /* Waits until the replica holds all that was committed before this request came. */
 static void ask(struct tmx_users *u, struct tmx_req *q, enum kind kind, const char *id,
                 int otherwise) {
+  /* Where the state is out of reach nothing can be decided: the sender goes elsewhere at once. When
+   * more ask than can be answered, those go first of whose job nobody was told here of late, so that
+   * none stays without an answer however many others ask. */
+  const struct tmx_job *j = tmx_job_find(&u->c->rep, id);
+  bool late = kind != ASK_POLL || (j && tmx_now() - j->answered_at > TMX_POLL_FAIR_S);
   struct ask *a = calloc(1, sizeof *a);
-  if (!a || u->waiting >= TMX_USER_QUEUE) {
+  if (!a || !tmx_link_served(u->c->link) ||
+      u->waiting >= (late ? TMX_USER_QUEUE : TMX_USER_QUEUE / 2)) {
     free(a);
-    refuse(q);
+    refuse(q, tmx_link_served(u->c->link) ? "too many wait" : "no state");
     return;
   }
   double within = kind == ASK_POLL ? TMX_USER_WAIT_S : TMX_SUBMIT_WAIT_S;
@@ -112,7 +120,7 @@
   snprintf(a->id, sizeof a->id, "%s", id);
   u->waiting++;
   if (!tmx_link_confirm(u->c->link, within, on_confirm, a)) {
-    refuse(q);
+    refuse(q, "too many wait for the state");
     done(a);
   }
 }
@@ -130,7 +138,7 @@
   if (res == TMX_TXN_CONFLICT && ++a->tries < 8 && tmx_now() < a->until &&
       tmx_link_confirm(a->u->c->link, a->until - tmx_now(), on_confirm, a))
     return;
-  refuse(a->req); /* not known: the user asks again and is told then */
+  refuse(a->req, "not known whether it is cancelled"); /* the user asks again and is told then */
   done(a);
 }
 
@@ -149,7 +157,7 @@
   tmx_txn_head(&t, c->set.node);
   tmx_buf_free(&v);
   if (!tmx_link_commit(c->link, &t, true, on_cancelled, a)) {
-    refuse(a->req);
+    refuse(a->req, "no connection to the state");
     done(a);
   }
 }
@@ -166,7 +174,7 @@
              tmx_link_confirm(a->u->c->link, TMX_SUBMIT_WAIT_S, on_confirm, a)) {
     a->otherwise = 503;
   } else {
-    refuse(a->req);
+    refuse(a->req, res == TMX_TXN_REFUSED ? "not committed in time" : "not known whether committed");
     done(a);
   }
 }
@@ -205,8 +213,8 @@
     tmx_req_reply(q, 400, NULL, 0);
     return;
   }
-  if (!c->rep.loaded) {
-    refuse(q);
+  if (!c->rep.loaded || !tmx_link_served(c->link)) {
+    refuse(q, "no state");
     return;
   }
   /* A known job is answered before any validation: what was accepted stays accepted. */
@@ -238,7 +246,7 @@
   if (u->waiting > TMX_USER_QUEUE ||
       !tmx_rounds_arrival(c, id, &v, TMX_SUBMIT_WAIT_S, on_submitted, a)) {
     tmx_buf_free(&v);
-    refuse(q);
+    refuse(q, "too many submissions");
     done(a);
   }
 }
@@ -272,7 +280,7 @@
     return true;
   }
   if (!u->c->rep.loaded) {
-    refuse(q);
+    refuse(q, "no state");
     return true;
   }
   struct tmx_job *j = tmx_job_find(&u->c->rep, id);
--- a/src/worker/health.c
+++ b/src/worker/health.c
@@ -145,6 +145,7 @@
   s->silence = sign_age(r, now);
   s->lost = r->probes_lost;
   s->unreached = tmx_worker_hears(r) ? 0 : now - fmax(r->owned_at, r->fence_at);
+  if (r->probes_lost) s->unreached = fmax(s->unreached, now - fmax(r->reached_at, r->owned_at));
   s->notice = r->notice;
   memcpy(s->id, r->id, sizeof s->id);
   return s->lost || s->unreached > 0 || s->notice || s->silence > heard_s;
--- a/src/worker/worker.c
+++ b/src/worker/worker.c
@@ -225,6 +225,7 @@
   tmx_r_kbool(m, W_SPOT, &f.spot);
   tmx_r_ku64(m, W_TOKEN, &seen);
   tmx_r_knum(m, W_NOTICE, &notice);
+  if (tmx_machine_gone(&w->c->rep, f.id)) return true; /* a late copy */
   struct worker *r = tmx_worker_make(w, f.id);
   if (!r) return false;
   /* late copies of older reports say nothing new */
@@ -465,12 +466,16 @@
   cbor_item_t *m = tmx_cbor_parse(q->body, q->body_len);
   struct worker *r = NULL;
   bool latest;
-  if (!m || !take_report(w, m, true, &r, &latest) || !r) {
+  if (!m || !take_report(w, m, true, &r, &latest)) {
     tmx_cbor_free(m);
     tmx_req_reply(q, 400, NULL, 0);
     return;
   }
   tmx_cbor_free(m);
+  if (!r) {
+    answer_move(q, NULL);
+    return;
+  }
   double now = tmx_now();
   if (latest) r->heard_at = w->report_at = now;
   /* A cut-off controller must not renew leases for longer than a cancellation allows. */
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -296,6 +296,109 @@
   gsl_rng_free(g);
 }
 
+/* What the leader frees for a service on a machine of another's part is not filled by that other
+ * with its own arrays: it holds the room on paper. */
+static void freed_room_is_left_to_the_service(void **st) {
+  (void)st;
+  struct paper *in = paper(1, 2, 1);
+  struct tmx_plan_output out;
+  job(in, 0, true, 1, 4);
+  job(in, 1, false, 3, 4);
+  in->jobs[0].planner = 1; /* the service is another's, the array and the machine are ours */
+  in->in.leading = false;
+  in->machines[0].ucpus = 12;
+  plan(in, &out);
+  assert_int_equal(out.n_ops, 0);
+  free(out.ops);
+  in->jobs[0].n_waits = 0;
+  plan(in, &out);
+  assert_int_equal(out.n_ops, 1);
+  free(out.ops);
+  paper_free(in);
+}
+
+/* However much small work comes, a job that has waited long gets a first task, and then a share. */
+static void the_oldest_begin(void **st) {
+  (void)st;
+  struct paper *in = paper(1, 2, 1);
+  struct tmx_plan_output out;
+  job(in, 0, false, 200, 4); /* large, so last in the order */
+  job(in, 1, false, 200, 2);
+  in->in.wall = in->in.now = 1000;
+  in->jobs[0].submitted = 1000 - TMX_BEGIN_S - 1;
+  in->jobs[1].submitted = 999;
+  in->machines[0].ucpus = 12;
+  plan(in, &out);
+  assert_int_equal(out.n_ops, 1);
+  assert_string_equal(out.ops[0].job, "wk-000000");
+  free(out.ops);
+  in->jobs[0].submitted = 990;
+  plan(in, &out);
+  assert_string_equal(out.ops[0].job, "wk-000001");
+  free(out.ops);
+  /* begun, it still gets its share of what is placed over many rounds */
+  in->jobs[0].submitted = 1000 - TMX_BEGIN_S - 1;
+  in->jobs[0].n_done = 1;
+  struct tmx_model *md = tell(in);
+  int large = 0, all = 0;
+  for (int i = 0; i < 200; i++) {
+    tmx_plan(md, &in->in, &out);
+    for (size_t k = 0; k < out.n_ops; k++, all++) large += !strcmp(out.ops[k].job, "wk-000000");
+    free(out.ops);
+  }
+  assert_true(large >= all * TMX_LANE_SHARE / 2 && large < all / 2);
+  tmx_model_free(md);
+  paper_free(in);
+}
+
+/* A planner that is fed with changes plans as one that is told everything anew, round after round,
+ * and a round leaves its tables as they were. */
+static void fed_in_steps_as_afresh(void **st) {
+  (void)st;
+  gsl_rng *g = gsl_rng_alloc(gsl_rng_mt19937);
+  gsl_rng_set(g, 42);
+  struct paper *in = paper(40, 12, 2);
+  for (size_t k = 0; k < 12; k++) job(in, k, false, 20, 2);
+  struct tmx_model *md = tell(in);
+  for (int step = 0; step < 300; step++) {
+    struct tmx_feed f = {0};
+    for (int i = 0; i < 5; i++) {
+      size_t m = gsl_rng_uniform_int(g, 40), k = gsl_rng_uniform_int(g, 12);
+      struct tmx_plan_machine *x = &in->machines[m];
+      x->ucpus = 2.0 * (double)gsl_rng_uniform_int(g, 9);
+      x->usable = gsl_rng_uniform_int(g, 5) > 0;
+      x->drain = gsl_rng_uniform_int(g, 8) == 0;
+      x->owner = (int)gsl_rng_uniform_int(g, 2);
+      struct tmx_plan_machine *to = tmx_feed_machine(&f);
+      *to = *x;
+      to->tasks = NULL;
+      to->n_tasks = 0;
+      struct tmx_plan_job *j = &in->jobs[k], *tj = tmx_feed_job(&f);
+      j->n_waits = gsl_rng_uniform_int(g, 21);
+      j->planner = (int)gsl_rng_uniform_int(g, 2);
+      *tj = *j;
+      tj->spec = NULL; /* as before */
+      tj->waits = calloc(21, sizeof *tj->waits);
+      memcpy(tj->waits, j->waits, j->n_waits * sizeof *j->waits);
+    }
+    tmx_model_feed(md, &f);
+    struct tmx_plan_output a, b, c;
+    tmx_plan(md, &in->in, &a);
+    tmx_plan(md, &in->in, &b);
+    plan(in, &c);
+    assert_int_equal(a.n_ops, b.n_ops);
+    for (size_t i = 0; i < a.n_ops; i++) assert_memory_equal(&a.ops[i], &b.ops[i], sizeof a.ops[i]);
+    assert_int_equal(a.n_ops, c.n_ops);
+    assert_int_equal(a.unplaced, c.unplaced);
+    free(a.ops);
+    free(b.ops);
+    free(c.ops);
+  }
+  tmx_model_free(md);
+  paper_free(in);
+  gsl_rng_free(g);
+}
+
 static void rents_for_what_waits(void **st) {
   (void)st;
   struct tmx_type small = {.name = "small", .cpus = 4, .mem = 16, .price = 0.2, .boot_s = 30};
@@ -326,6 +429,9 @@
       cmocka_unit_test(stops_lower_priority_once),
       cmocka_unit_test(equal_priority_is_not_stopped),
       cmocka_unit_test(random_clusters),
+      cmocka_unit_test(freed_room_is_left_to_the_service),
+      cmocka_unit_test(the_oldest_begin),
+      cmocka_unit_test(fed_in_steps_as_afresh),
       cmocka_unit_test(rents_for_what_waits),
   };
   return cmocka_run_group_tests(t, NULL, NULL);
--- a/tests/test_rules.c
+++ b/tests/test_rules.c
@@ -441,6 +441,113 @@
   assert_string_equal(cloud.deleted[0], "n-000001");
 }
 
+/* A late copy of a report of a machine that was returned meanwhile brings nothing back, also at a
+ * controller that has just started: only a worker that shows our token is registered. */
+static void late_copy_of_a_returned_machine(void **st) {
+  (void)st;
+  up(a);
+  uint64_t seq = w.seq, token = w.token;
+  cloud.refuse_delete = false;
+  w.silent = true;
+  tmx_clock_shift(12);
+  for (int i = 0; i < 500 && !fake_logged("x n-000001"); i++) pump_for(0.02);
+  assert_true(fake_logged("x n-000001"));
+  for (int i = 0; i < 2; i++) {
+    w.seq = seq - 1; /* the copy, as it was sent long ago */
+    w.token = token;
+    worker_report(&w, a);
+    w.token = token; /* nobody reads the answer */
+    pump_for(0.3);
+    assert_false(registered(a));
+    restart();
+  }
+  w.seq = seq - 1;
+  worker_report(&w, a);
+  pump_for(0.3);
+  assert_false(registered(a));
+}
+
+/* A machine whose reports arrive while commands and answers do not reach it gets no new work, and is
+ * replaced; its task moves only with the proof that it is gone. */
+static void heard_and_not_reached(void **st) {
+  (void)st;
+  up(a);
+  submit(a, "wk-000001", "batch", 1, 2, "t");
+  assert_true(pump(running, NULL));
+  w.mute = w.silent = true;
+  cloud.refuse_delete = true;
+  uint64_t token = w.token;
+  for (int i = 0; i < 14; i++) { /* reports keep coming, their answers are lost */
+    w.token = token;
+    worker_report(&w, a);
+    w.token = token;
+    pump_for(0.25);
+  }
+  struct tmx_machine *m = tmx_machine_find(&a->rep, w.id);
+  assert_non_null(m);
+  assert_false(m->usable);
+  submit(a, "wk-000002", "batch", 1, 2, "t");
+  pump_for(0.4);
+  assert_int_equal(fake_placed(), 1);
+  tmx_clock_shift(a->set.lease_s);
+  cloud.refuse_delete = false;
+  for (int i = 0; i < 400 && !fake_logged("x n-000001"); i++) {
+    if (i % 20 == 0) {
+      w.token = token;
+      worker_report(&w, a);
+    }
+    pump_for(0.02);
+  }
+  assert_true(fake_logged("x n-000001"));
+}
+
+/* A job's last end needs a put more than others. With few puts to spend it waits for them, and does
+ * not hold up what comes after it. */
+static void last_ends_with_few_puts(void **st) {
+  (void)st;
+  up(a);
+  assert_int_equal(submit(a, "wk-000001", "batch", 1, 2, "t"), 201);
+  assert_int_equal(submit(a, "wk-000002", "batch", 3, 2, "t"), 201);
+  for (int i = 0; i < 200 && w.executed_starts < 4; i++) pump_for(0.02);
+  assert_int_equal(w.executed_starts, 4);
+  a->set.write_rps = 3;
+  worker_set(&w, "wk-000001/0", 1, WV_EXITED, WV_DONE);
+  worker_set(&w, "wk-000002/0", 1, WV_EXITED, WV_DONE);
+  worker_set(&w, "wk-000002/1", 1, WV_EXITED, WV_DONE);
+  worker_report(&w, a);
+  assert_true(pump(final_state, "wk-000001"));
+  for (int i = 0; i < 200 && tmx_job_find(&a->rep, "wk-000002")->n_done < 2; i++) pump_for(0.02);
+  assert_int_equal(tmx_job_find(&a->rep, "wk-000002")->n_done, 2);
+}
+
+/* The same submission at two controllers at once, one of them behind: the job is taken once. */
+static void one_name_at_two_controllers(void **st) {
+  (void)st;
+  state.doors[1].freeze_watch = true; /* b does not see what a accepts */
+  assert_int_equal(submit(a, "wk-000001", "batch", 2, 2, "t"), 201);
+  assert_int_not_equal(submit(b, "wk-000001", "batch", 1, 2, "t"), 201);
+  state.doors[1].freeze_watch = false;
+  fake_free_watches();
+  assert_int_equal(submit(b, "wk-000001", "batch", 1, 2, "t"), 200);
+  assert_int_equal(tmx_job_find(&b->rep, "wk-000001")->spec.tasks, 2);
+}
+
+/* A controller whose state is out of reach sends submissions and polls on at once. */
+static void refused_at_once_without_state(void **st) {
+  (void)st;
+  assert_int_equal(submit(a, "wk-000001", "batch", 1, 2, "t"), 201);
+  state.doors[0].refuse = true;
+  pump_for(1.5);
+  double t = tmx_now();
+  assert_int_equal(submit(a, "wk-000002", "batch", 1, 2, "t"), 503);
+  assert_int_equal(poll_job(a, "wk-000001").status, 503);
+  assert_true(tmx_now() - t < 0.5);
+  state.doors[0].refuse = false;
+  pump_for(1.0);
+  assert_int_equal(poll_job(a, "wk-000001").status, 200);
+  assert_int_equal(submit(a, "wk-000002", "batch", 1, 2, "t"), 201);
+}
+
 static bool folded(void *arg) {
   (void)arg;
   struct tmx_log_key *k, *t;
@@ -562,6 +669,11 @@
       cmocka_unit_test_setup_teardown(lost_answer_to_a_batch, setup, teardown),
       cmocka_unit_test_setup_teardown(cancelled_work_is_stopped, setup, teardown),
       cmocka_unit_test_setup_teardown(silent_machine, setup, teardown),
+      cmocka_unit_test_setup_teardown(late_copy_of_a_returned_machine, setup, teardown),
+      cmocka_unit_test_setup_teardown(heard_and_not_reached, setup, teardown),
+      cmocka_unit_test_setup_teardown(last_ends_with_few_puts, setup, teardown),
+      cmocka_unit_test_setup_teardown(one_name_at_two_controllers, setup_two, teardown),
+      cmocka_unit_test_setup_teardown(refused_at_once_without_state, setup, teardown),
       cmocka_unit_test_setup_teardown(folding, setup, teardown),
       cmocka_unit_test_setup_teardown(answers_to_submissions, setup, teardown),
       cmocka_unit_test_setup_teardown(hostile_connections, setup, teardown),
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "state/check.h"
 #include "state/replica.h"
 
 static struct tmx_settings set;
@@ -143,6 +144,115 @@
   assert_int_equal(task(1)->state, TMX_TASK_DONE);
 }
 
+static void put_fold(uint64_t stamp, uint64_t mark) {
+  struct tmx_buf b = {0};
+  tmx_w_map(&b, 2);
+  tmx_w_ku64(&b, "mark", mark);
+  tmx_w_ku64(&b, "gen", mark);
+  put(TMX_K_FOLD, stamp, &b);
+}
+
+/* Log keys are written over after a fold, in any order: what is left of the old batches is no longer
+ * the whole story, and must not bring a machine back whose end was written over. */
+static void batches_before_the_mark_do_not_count(void **st) {
+  (void)st;
+  rep.load_until = 30;
+  put_fold(20, 12);
+  put_job(1, 0);
+  put_batch("1", 3, "m n-1 127.0.0.1:1 big a 0 0"); /* its end, at 9, is written over */
+  put_batch("2", 4, "p wk-1/0 1 n-1");
+  put_batch("3", 25, "m n-2 127.0.0.1:2 big a 0 0");
+  put_batch("4", 26, "p wk-1/1 1 n-2");
+  tmx_replica_reached(&rep, 30);
+  assert_null(tmx_machine_find(&rep, "n-1"));
+  assert_int_equal(task(0)->attempt, 0); /* the page says what it is, and there is none here */
+  assert_int_equal(task(1)->state, TMX_PLACED);
+  assert_int_equal(tmx_job_find(&rep, "wk-1")->zone_live[0], 1);
+}
+
+/* Runs of tasks in a page, and a job that has no key of its own. */
+static void pages(void **st) {
+  (void)st;
+  struct tmx_spec s = {.tasks = 9, .cpus = 2, .mem = 1, .deadline_s = -1};
+  struct tmx_buf jobs = {0}, lines = {0}, v = {0};
+  strcpy(s.class, "c");
+  strcpy(s.team, "t");
+  strcpy(s.image, "i");
+  rep.load_until = 9;
+  tmx_job_encode(&jobs, "wk-1", &s, 5, 0);
+  tmx_w_str(&lines, "m n-1 127.0.0.1:1 big a 1 1");
+  tmx_w_str(&lines, "t wk-1/0 4 2 d -");
+  tmx_w_str(&lines, "t wk-1/4 2 3 w -");
+  tmx_w_str(&lines, "t wk-1/6 1 1 2 n-1");
+  tmx_lines_encode(&v, &jobs, 1, &lines, 4);
+  tmx_buf_free(&jobs);
+  tmx_buf_free(&lines);
+  put(TMX_K_PAGE "000000000000000c/00000", 5, &v);
+  put_batch("9", 8, "p wk-1/7 1 n-1");
+  tmx_replica_reached(&rep, 9);
+  struct tmx_job *j = tmx_job_find(&rep, "wk-1");
+  assert_int_equal(j->n_done, 4);
+  assert_int_equal(j->n_placed, 2);
+  assert_int_equal(task(5)->attempt, 3);
+  assert_int_equal(task(6)->stop, 2);
+  assert_true(tmx_machine_find(&rep, "n-1")->drain && tmx_machine_find(&rep, "n-1")->spot);
+  /* and back into lines */
+  char line[TMX_LINE_MAX];
+  int len;
+  assert_int_equal(tmx_run_print(line, sizeof line, j, 0, &len), 4);
+  assert_string_equal(line, "t wk-1/0 4 2 d -");
+  assert_int_equal(tmx_run_print(line, sizeof line, j, 8, &len), 1);
+  assert_int_equal(len, 0);
+}
+
+static struct tmx_op op(char kind, uint32_t i, uint32_t attempt, const char *machine, char how) {
+  struct tmx_op o = {.op = kind, .task = i, .attempt = attempt, .how = how};
+  strcpy(o.job, "wk-1");
+  strcpy(o.machine, machine);
+  return o;
+}
+
+/* A batch that lost the race for head is checked line by line on what won, each line after those
+ * before it: limits, room and attempts hold whatever came in between. */
+static void checked_again_after_a_lost_race(void **st) {
+  (void)st;
+  struct tmx_check c;
+  rep.loaded = true;
+  put_job(1, 0);
+  put_machine(2);
+  tmx_machine_find(&rep, "n-1")->size_cpus = 4;
+  tmx_machine_find(&rep, "n-1")->size_mem = 16;
+  set.teams[0].cpus_max = 100;
+  struct tmx_op p0 = op(TMX_OP_PLACE, 0, 1, "n-1", 0), p1 = op(TMX_OP_PLACE, 1, 1, "n-1", 0),
+                p2 = op(TMX_OP_PLACE, 2, 1, "n-1", 0), e0 = op(TMX_OP_END, 0, 1, "", 'l');
+  tmx_check_begin(&c, &rep);
+  assert_true(tmx_check_op(&c, &p0));
+  assert_true(tmx_check_op(&c, &p1));
+  assert_false(tmx_check_op(&c, &p2)); /* the machine is full with those two */
+  put_batch("1", 3, "p wk-1/0 1 n-1"); /* another came first with the same task */
+  tmx_check_begin(&c, &rep);
+  assert_false(tmx_check_op(&c, &p0));
+  assert_true(tmx_check_op(&c, &p1));
+  assert_false(tmx_check_op(&c, &p2));
+  tmx_check_begin(&c, &rep);
+  assert_true(tmx_check_op(&c, &e0)); /* an end in the same batch makes room */
+  assert_true(tmx_check_op(&c, &p1));
+  assert_true(tmx_check_op(&c, &p2));
+  assert_false(tmx_check_op(&c, &p0)); /* but that task's next attempt is not this one */
+  set.teams[0].cpus_max = 4;
+  tmx_check_begin(&c, &rep);
+  assert_true(tmx_check_op(&c, &p1));
+  tmx_machine_find(&rep, "n-1")->size_cpus = 64;
+  assert_false(tmx_check_op(&c, &p2)); /* its team's limit */
+  put_batch("2", 4, "d n-1 1");
+  tmx_check_begin(&c, &rep);
+  assert_false(tmx_check_op(&c, &p1)); /* the machine is to be returned */
+  put_batch("3", 5, "d n-1 0");
+  put_job(6, TMX_FIN_CANCELLED);
+  tmx_check_begin(&c, &rep);
+  assert_false(tmx_check_op(&c, &p1));
+}
+
 static void put_view(uint64_t stamp, size_t n, const char *taken_by) {
   struct tmx_exception e;
   struct tmx_view v = {.term = stamp, .n_members = n};
@@ -209,6 +319,9 @@
       cmocka_unit_test_setup_teardown(cancelled_work_counts_until_it_is_gone, setup, teardown),
       cmocka_unit_test_setup_teardown(load_at_mixed_revisions, setup, teardown),
       cmocka_unit_test_setup_teardown(load_settles_lost_machines, setup, teardown),
+      cmocka_unit_test_setup_teardown(batches_before_the_mark_do_not_count, setup, teardown),
+      cmocka_unit_test_setup_teardown(pages, setup, teardown),
+      cmocka_unit_test_setup_teardown(checked_again_after_a_lost_race, setup, teardown),
       cmocka_unit_test_setup_teardown(ownership, setup, teardown),
       cmocka_unit_test(op_lines),
   };
