--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -22,8 +22,9 @@
 #define TMX_PUT_BURST_S 1.0           /* puts saved up for this long: all together stay within the
                                          service's burst of a second */
 #define TMX_PUT_BURST_LEAST 4.5       /* puts: a batch with two values, head and a job's final state */
-#define TMX_RICH 0.55                 /* of the service's burst unused: batches need not keep to turns */
-#define TMX_POOL_KEPT 0.4             /* ... that is left to the others */
+#define TMX_USED_S 3.0                /* puts of all are looked at over this time ... */
+#define TMX_RICH 0.35                 /* ... and below this share of the rate nobody keeps to turns */
+#define TMX_POOL_KEPT 0.4             /* of the service's burst that is left to the others then */
 #define TMX_TURN_PUTS 2.4             /* puts of a usual batch: sets the length of a turn */
 #define TMX_TURN_BEGIN 0.45           /* of a turn: a round begins within this, the rest is for planning,
                                          sending and clocks that differ */
--- a/src/state/link.c
+++ b/src/state/link.c
@@ -54,6 +54,7 @@
   /* write budget */
   double tokens, tokens_at;
   double submits; /* puts kept apart for submissions */
+  double used;          /* puts of all over the last TMX_USED_S, older ones fading */
   double pool, pool_at; /* the service's own bucket of puts, as the events of all tell */
   double watch_tokens, watch_at;
   char suspect[TMX_NAME_MAX];
@@ -192,6 +193,7 @@
   k->rep->now = tmx_now();
   refill(k);
   k->pool -= (double)tmx_r_len(ev);
+  k->used += (double)tmx_r_len(ev);
   for (size_t i = 0; i < tmx_r_len(ev); i++) {
     const cbor_item_t *e = tmx_r_at(ev, i);
     char key[TMX_PATH_MAX];
@@ -364,6 +366,7 @@
 
 static void refill(struct tmx_link *k) {
   double now = tmx_now(), rate = put_rate(k), all = k->set->write_rps;
+  k->used *= exp(-(now - k->pool_at) / TMX_USED_S);
   k->pool = fmin(fmax(k->pool, -all) + (now - k->pool_at) * all, all);
   k->pool_at = now;
   double burst = fmax(rate * TMX_PUT_BURST_S, TMX_PUT_BURST_LEAST); /* together less than the service's one second */
@@ -373,9 +376,16 @@
   k->tokens_at = now;
 }
 
+/* So little was put of late, by all, that others are hardly in the way. Taken over seconds: were it
+ * the moment's, all would find room at the same moment, and rush. */
+bool tmx_link_rich(struct tmx_link *k) {
+  refill(k);
+  return k->used / TMX_USED_S < k->set->write_rps * TMX_RICH;
+}
 /* This controller's share, or, while the others leave theirs unused, half of what is free. */
 double tmx_link_budget(struct tmx_link *k) {
   refill(k);
+  if (!tmx_link_rich(k)) return k->tokens;
   return fmax(k->tokens, (k->pool - k->set->write_rps * TMX_POOL_KEPT) / 2);
 }
 double tmx_link_budget_in(struct tmx_link *k, double puts) {
@@ -396,12 +406,6 @@
   return true;
 }
 
-/* So little was put of late, by all, that others are hardly in the way. */
-bool tmx_link_rich(struct tmx_link *k) {
-  refill(k);
-  return k->pool > k->set->write_rps * TMX_RICH;
-}
-
 static void on_txn(void *arg, int status, const uint8_t *body, size_t len) {
   struct pending_txn *p = arg;
   int res = TMX_TXN_UNKNOWN;
