--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -73,6 +73,10 @@
                                          machine */
 #define TMX_NO_AIM_S 600.0            /* when a job of a class without an aim counts as late */
 #define TMX_ENDS_ROUND 512            /* ended attempts taken into one round */
+#define TMX_CLASSES_MAX 32            /* classes whose run times are learned */
+#define TMX_LEARN_LEAST 8             /* tasks seen before the owners' estimates are corrected */
+#define TMX_LEARN_LAST 200            /* tasks over which the correction is averaged */
+#define TMX_LEARN_BOUND 2.0           /* of the logarithm: one task counts as 7 times off at most */
 #define TMX_PLAN_TASKS 400            /* tasks placed in one round at most */
 
 /* --- workers (s) --- */
--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -343,15 +343,15 @@
 static bool alike(const struct tmx_spec *a, const struct tmx_spec *b) {
   return a->service == b->service && a->cpus == b->cpus && a->gpus == b->gpus && a->mem == b->mem &&
          a->spot == b->spot && a->n_types == b->n_types && a->spread == b->spread &&
-         a->estimate_s * 2 > b->estimate_s && b->estimate_s * 2 > a->estimate_s &&
          !memcmp(a->types, b->types, a->n_types * sizeof a->types[0]);
 }
 
 /* Jobs of one shape count as one demand: what is rented for them is the same. */
-static void need(struct needs *d, const struct tmx_spec *s, int zone, uint32_t tasks) {
+static void need(struct needs *d, const struct tmx_spec *s, int zone, uint32_t tasks, double run) {
   if (!tasks) return;
   for (size_t i = 0; i < d->n; i++)
-    if (d->v[i].zone == zone && alike(d->v[i].spec, s)) {
+    if (d->v[i].zone == zone && alike(d->v[i].spec, s) && d->v[i].run_s <= 2 * run &&
+        run <= 2 * d->v[i].run_s) {
       d->v[i].tasks += tasks;
       return;
     }
@@ -360,7 +360,7 @@
     d->v = realloc(d->v, d->cap * sizeof *d->v);
     if (!d->v) abort();
   }
-  d->v[d->n++] = (struct tmx_demand){s, tasks, zone};
+  d->v[d->n++] = (struct tmx_demand){s, tasks, zone, run};
 }
 
 /* A service's waiting tasks by the zones that its cap leaves open, the emptiest first. */
@@ -372,7 +372,7 @@
     int zone = s->zone[0] ? tmx_zone_index(&c->set, s->zone) : -1;
     for (size_t z = 0; zone < 0 && s->one_zone && z < c->set.n_zones; z++)
       if (j->zone_live[z]) zone = (int)z;
-    need(d, s, zone, w);
+    need(d, s, zone, w, 0);
     return;
   }
   for (; w; w--) {
@@ -385,7 +385,7 @@
     if (best == c->set.n_zones) break;
     add[best]++;
   }
-  for (size_t z = 0; z < c->set.n_zones; z++) need(d, s, (int)z, add[z]);
+  for (size_t z = 0; z < c->set.n_zones; z++) need(d, s, (int)z, add[z], 0);
 }
 
 static void weigh(struct tmx_cloud *k) {
@@ -410,7 +410,8 @@
     if (j->spec.service)
       need_service(c, &d, j, w);
     else
-      need(&d, &j->spec, j->spec.zone[0] ? tmx_zone_index(&c->set, j->spec.zone) : -1, w);
+      need(&d, &j->spec, j->spec.zone[0] ? tmx_zone_index(&c->set, j->spec.zone) : -1, w,
+           tmx_expected_run(r, &j->spec));
   }
   if (!d.n) return;
   /* room that is there or on its way */
--- a/src/core/capacity.c
+++ b/src/core/capacity.c
@@ -38,14 +38,14 @@
   double backlog = 0;
   for (size_t i = 0; i < n_d; i++)
     if (!d[i].spec->service)
-      backlog += d[i].tasks * d[i].spec->cpus * fmax(d[i].spec->estimate_s, 5);
+      backlog += d[i].tasks * d[i].spec->cpus * fmax(d[i].run_s, 5);
   for (size_t i = 0; i < n_d; i++) {
     const struct tmx_spec *s = d[i].spec;
     uint32_t left = d[i].tasks;
     if (!s->service) {
       if (have > 0 && backlog / have < TMX_CLEAR_S) continue; /* cleared soon as it stands */
       /* enough to be done in one more run time, rather than a machine for every task */
-      left = (uint32_t)ceil(left * fmin(1.0, fmax(s->estimate_s, 5) / 45.0));
+      left = (uint32_t)ceil(left * fmin(1.0, fmax(d[i].run_s, 5) / 45.0));
     }
     for (size_t b = 0; b < n_bins && left; b++) {
       if (!suits(s, bins[b].type, bins[b].zone, bins[b].spot, &d[i])) continue;
--- a/src/core/capacity.h
+++ b/src/core/capacity.h
@@ -6,7 +6,8 @@
 struct tmx_demand { /* waiting tasks of one job that found no room */
   const struct tmx_spec *spec;
   uint32_t tasks;
-  int zone; /* the only one that helps; -1: any */
+  int zone;     /* the only one that helps; -1: any */
+  double run_s; /* expected of a task */
 };
 struct tmx_offer { /* one type, zone and kind that may be rented now */
   const struct tmx_type *type;
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -249,7 +249,7 @@
   f->stuck_since = j->stuck_since;
   f->retry_at = j->retry_at;
   f->aim_s = tmx_rounds_aim(c, &j->spec);
-  f->run_s = fmax(j->spec.estimate_s, j->longest);
+  f->run_s = fmax(tmx_expected_run(&c->rep, &j->spec), j->longest);
   f->n_done = j->n_done;
   f->n_placed = j->n_placed;
   f->open = open;
--- a/src/state/replica.h
+++ b/src/state/replica.h
@@ -128,6 +128,11 @@
   uint64_t stamp;
   UT_hash_handle hh;
 };
+struct tmx_class { /* how long its tasks run, against what the owners estimate */
+  char name[TMX_NAME_MAX];
+  double log_ratio;
+  unsigned n;
+};
 struct tmx_image_name {
   char name[TMX_NAME_MAX];
   int id;
@@ -160,6 +165,8 @@
   int *slots_m, *slots_j; /* free places, and how many have ever been given */
   size_t n_slots_m, n_slots_j, cap_slots_m, cap_slots_j;
   int top_m, top_j;
+  struct tmx_class classes[TMX_CLASSES_MAX];
+  size_t n_classes;
   struct tmx_image_name *images; /* names are compared once: numbers from here on */
   struct tmx_usage usage[TMX_TEAMS_MAX];
   double now; /* steady clock at the latest event, set by the caller */
@@ -209,6 +216,10 @@
 /* A batch's or a page's value: encoded jobs, and lines. */
 void tmx_lines_encode(struct tmx_buf *b, const struct tmx_buf *jobs, size_t n_jobs,
                       const struct tmx_buf *list, size_t n);
+/* How long a task of the job is expected to run, s: the owner's estimate, as far as it has held for the
+ * class of late. */
+double tmx_expected_run(const struct tmx_replica *r, const struct tmx_spec *s);
+void tmx_learn_run(struct tmx_replica *r, const struct tmx_spec *s, double ran);
 /* The time at which a batch of this member was last seen; 0: never. */
 double tmx_replica_wrote(const struct tmx_replica *r, const char *node);
 void tmx_view_encode(struct tmx_buf *b, const struct tmx_view *v);
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -404,7 +404,7 @@
   struct tmx_type small = {.name = "small", .cpus = 4, .mem = 16, .price = 0.2, .boot_s = 30};
   struct tmx_type big = {.name = "big", .cpus = 16, .mem = 64, .price = 1.0, .boot_s = 30};
   struct tmx_spec s = {.service = true, .tasks = 1, .cpus = 2, .mem = 4};
-  struct tmx_demand d = {&s, 1, -1};
+  struct tmx_demand d = {&s, 1, -1, 0};
   struct tmx_offer o[2] = {{&small, 0, false, 0.2}, {&big, 0, false, 1.0}};
   struct tmx_hire h[4];
   assert_int_equal(tmx_capacity(&d, 1, o, 2, NULL, 0, 10, h, 4), 1);
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -205,6 +205,25 @@
   assert_int_equal(len, 0);
 }
 
+/* Estimates that are mostly too low are corrected by the class's own runs; one far-off task hardly
+ * counts, and other classes are not touched. */
+static void run_times_are_learned(void **st) {
+  (void)st;
+  struct tmx_spec s = {.estimate_s = 50}, other = {.estimate_s = 50};
+  strcpy(s.class, "c");
+  strcpy(other.class, "d");
+  assert_true(tmx_expected_run(&rep, &s) == 50);
+  for (int i = 0; i < 100; i++) tmx_learn_run(&rep, &s, i % 2 ? 90 : 110);
+  tmx_learn_run(&rep, &s, 1e6);
+  assert_true(tmx_expected_run(&rep, &s) > 90 && tmx_expected_run(&rep, &s) < 110);
+  assert_true(tmx_expected_run(&rep, &other) == 50);
+  for (int i = 0; i < 100; i++) { /* memory is bounded */
+    snprintf(other.class, sizeof other.class, "x%d", i);
+    tmx_learn_run(&rep, &other, 10);
+  }
+  assert_int_equal(rep.n_classes, TMX_CLASSES_MAX);
+}
+
 static struct tmx_op op(char kind, uint32_t i, uint32_t attempt, const char *machine, char how) {
   struct tmx_op o = {.op = kind, .task = i, .attempt = attempt, .how = how};
   strcpy(o.job, "wk-1");
@@ -321,6 +340,7 @@
       cmocka_unit_test_setup_teardown(load_settles_lost_machines, setup, teardown),
       cmocka_unit_test_setup_teardown(batches_before_the_mark_do_not_count, setup, teardown),
       cmocka_unit_test_setup_teardown(pages, setup, teardown),
+      cmocka_unit_test_setup_teardown(run_times_are_learned, setup, teardown),
       cmocka_unit_test_setup_teardown(checked_again_after_a_lost_race, setup, teardown),
       cmocka_unit_test_setup_teardown(ownership, setup, teardown),
       cmocka_unit_test(op_lines),
