--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -4,152 +4,163 @@
 #define TMX_CONSTANTS_H
 
 /* --- limits of messages and tables (bytes, counts) --- */
-#define TMX_BODY_MAX 65536            /* bytes; PROTOCOL's limit for requests */
-#define TMX_REPLY_MAX (24u << 20)     /* bytes; a watch has no size limit, memory has */
-#define TMX_CBOR_DEPTH 16             /* levels; no message of PROTOCOL nests deeper than 5 */
-#define TMX_PATH_MAX 512              /* bytes; a state key has at most 200 */
-#define TMX_NAME_MAX 64               /* bytes; names of nodes, zones, teams, images */
-#define TMX_ID_MAX 32                 /* bytes; job ids and machine names */
-#define TMX_TASKS_MAX 100000          /* tasks of one job; PROTOCOL's limit */
-#define TMX_ZONES_MAX 16              /* zones; a counter a zone and job is kept */
-#define TMX_TYPES_MAX 32              /* machine types in the catalog; more are ignored */
-#define TMX_MEMBERS_MAX 16            /* controllers in one view */
-#define TMX_SERVER_CONNS_SHARE 0.7    /* of the sockets: the rest is for outgoing calls */
-#define TMX_IDLE_CLOSE_S 300.0        /* s; a silent incoming connection is given up */
-#define TMX_PARTIAL_S 15.0            /* s; a request must arrive whole in this time */
+#define TMX_BODY_MAX 65536         /* bytes; PROTOCOL's limit for requests */
+#define TMX_REPLY_MAX (24u << 20)  /* bytes; a watch has no size limit, memory has */
+#define TMX_CBOR_DEPTH 16          /* levels; no message of PROTOCOL nests deeper than 5 */
+#define TMX_PATH_MAX 512           /* bytes; a state key has at most 200 */
+#define TMX_NAME_MAX 64            /* bytes; names of nodes, zones, teams, images */
+#define TMX_ID_MAX 32              /* bytes; job ids and machine names */
+#define TMX_TASKS_MAX 100000       /* tasks of one job; PROTOCOL's limit */
+#define TMX_ZONES_MAX 16           /* zones; a counter a zone and job is kept */
+#define TMX_TYPES_MAX 32           /* machine types in the catalog; more are ignored */
+#define TMX_MEMBERS_MAX 16         /* controllers in one view */
+#define TMX_SERVER_CONNS_SHARE 0.7 /* of the sockets: the rest is for outgoing calls */
+#define TMX_IDLE_CLOSE_S 300.0     /* s; a silent incoming connection is given up */
+#define TMX_PARTIAL_S 15.0         /* s; a request must arrive whole in this time */
 
 /* --- state service (s unless said) --- */
-#define TMX_PUT_BURST_S 1.0           /* puts saved up for this long: all together stay within the
-                                         service's burst of a second */
-#define TMX_PUT_BURST_LEAST 4.5       /* puts: a batch with two values, head and a job's final state */
-#define TMX_USED_S 3.0                /* puts of all are looked at over this time ... */
-#define TMX_RICH 0.35                 /* ... and below this share of the rate nobody keeps to turns */
-#define TMX_POOL_KEPT 0.4             /* of the service's burst that is left to the others then */
-#define TMX_TURN_PUTS 2.4             /* puts of a usual batch: sets the length of a turn */
-#define TMX_TURN_BEGIN 0.45           /* of a turn: a round begins within this, the rest is for planning,
-                                         sending and clocks that differ */
-#define TMX_ARRIVALS_MAX 400          /* submissions waiting for the log; more are refused at once */
-#define TMX_DIRECT_MAX 2              /* waiting submissions: so few go out at once, each as a put */
-#define TMX_DIRECT_TRIES 4            /* that lost against a batch: then it goes with the next one */
-#define TMX_LEASE_TTL_MS 6000         /* ms; refused peers are noticed sooner by heartbeats */
-#define TMX_LEASE_RENEW_S 1.2         /* five tries a lease */
-#define TMX_STATE_TIMEOUT_S 2.0       /* answers take 10 ms, at times a few hundred */
-#define TMX_WATCH_WAIT_MS 15000       /* ms; long, since an idle watch costs nothing */
-#define TMX_WATCH_SHARE 0.45          /* of the request rate, for opening watches */
-#define TMX_WATCH_BURST_S 0.4         /* ... saved up for this long */
-#define TMX_CONFIRM_SHARE 0.3         /* ... for revision reads: all waiting polls share one */
-#define TMX_CONFIRM_IDLE_S 1.0        /* a revision read at least this often, for freshness */
-#define TMX_WATCH_LAG_S 0.7           /* behind a revision read this long: open the watch anew */
-#define TMX_STATE_RETRY_S 0.3         /* after an error of the state service */
-#define TMX_TXN_BYTES 49152           /* bytes; PROTOCOL allows 64 KiB, counted as JSON */
-#define TMX_FRESH_MARGIN_S 3.0        /* taken off cancel_s - lease_s: drift, delays, halts */
-#define TMX_FOLD_KEYS 1500            /* batch keys since the last fold: about 1 MB, read within a second
-                                         when a controller starts */
-#define TMX_FOLD_SPARE 0.5            /* of the write budget must be free for a step of folding */
+#define TMX_PUT_BURST_S                                                                      \
+  1.0                           /* puts saved up for this long: all together stay within the \
+                                   service's burst of a second */
+#define TMX_PUT_BURST_LEAST 4.5 /* puts: a batch with two values, head and a job's final state */
+#define TMX_USED_S 3.0          /* puts of all are looked at over this time ... */
+#define TMX_RICH 0.35           /* ... and below this share of the rate nobody keeps to turns */
+#define TMX_POOL_KEPT 0.4       /* of the service's burst that is left to the others then */
+#define TMX_TURN_PUTS 2.4       /* puts of a usual batch: sets the length of a turn */
+#define TMX_TURN_BEGIN                                                                            \
+  0.45                        /* of a turn: a round begins within this, the rest is for planning, \
+                                 sending and clocks that differ */
+#define TMX_ARRIVALS_MAX 400  /* submissions waiting for the log; more are refused at once */
+#define TMX_DIRECT_MAX 2      /* waiting submissions: so few go out at once, each as a put */
+#define TMX_DIRECT_TRIES 4    /* that lost against a batch: then it goes with the next one */
+#define TMX_LEASE_TTL_MS 6000 /* ms; refused peers are noticed sooner by heartbeats */
+#define TMX_LEASE_RENEW_S 1.2 /* five tries a lease */
+#define TMX_STATE_TIMEOUT_S 2.0 /* answers take 10 ms, at times a few hundred */
+#define TMX_WATCH_WAIT_MS 15000 /* ms; long, since an idle watch costs nothing */
+#define TMX_WATCH_SHARE 0.45    /* of the request rate, for opening watches */
+#define TMX_WATCH_BURST_S 0.4   /* ... saved up for this long */
+#define TMX_CONFIRM_SHARE 0.3   /* ... for revision reads: all waiting polls share one */
+#define TMX_CONFIRM_IDLE_S 1.0  /* a revision read at least this often, for freshness */
+#define TMX_WATCH_LAG_S 0.7     /* behind a revision read this long: open the watch anew */
+#define TMX_STATE_RETRY_S 0.3   /* after an error of the state service */
+#define TMX_TXN_BYTES 49152     /* bytes; PROTOCOL allows 64 KiB, counted as JSON */
+#define TMX_FRESH_MARGIN_S 3.0  /* taken off cancel_s - lease_s: drift, delays, halts */
+#define TMX_FOLD_KEYS                                                                          \
+  1500                     /* batch keys since the last fold: about 1 MB, read within a second \
+                              when a controller starts */
+#define TMX_FOLD_SPARE 0.5 /* of the write budget must be free for a step of folding */
 
-#define TMX_STATE_LOST_S 3.5          /* no revision read for this long: ask whether peers get any */
+#define TMX_STATE_LOST_S 3.5 /* no revision read for this long: ask whether peers get any */
 
 /* --- rounds (s) --- */
-#define TMX_LINE_MAX 256              /* bytes; a line of the log: four names at most */
-#define TMX_LINE_TYPICAL 26           /* bytes; a placement: bounds what is planned at once */
-#define TMX_ROUND_SPACING_S 0.03      /* least time between two rounds of one controller */
-#define TMX_ROUND_PUTS 2.05           /* puts of the smallest batch: one value and head */
-#define TMX_FINISHED_MAX 64           /* jobs that end in one batch */
-#define TMX_RESENDS 6                 /* of a batch that lost the race for head; then planned anew */
-#define TMX_REGISTER_MAX 256          /* machines registered in one batch */
-#define TMX_PLAN_VISITS 400000        /* machines and tasks looked at in one round: about 20 ms */
-#define TMX_BEGIN_S 150.0             /* a job that waited this long gets a first task, and a share of the
-                                         room with others as old: the largest begin within four minutes */
-#define TMX_LANE_SHARE 0.1            /* of the tasks placed: that share for the oldest jobs */
-#define TMX_MOVES_LEAST 2             /* replicas down at a time because machines are returned ... */
-#define TMX_MOVES_SHARE 0.002         /* ... or this share of all replicas */
-#define TMX_ROUND_IDLE_S 2.0          /* the paper's draft period: a round without an event */
-#define TMX_ENDS_DELAY_S 0.25         /* completions wait this long to share a batch */
-#define TMX_LEADER_GRACE_S 0.2        /* a job's own controller goes first this long, and one full turn */
-#define TMX_WRITE_SHARE 0.8           /* of the write rate for batches; some is left for lost races */
-#define TMX_SUBMIT_SHARE 0.08         /* ... for submissions that go out singly ... */
-#define TMX_SUBMIT_BURST 3.0          /* ... so many at once */
-#define TMX_PATIENCE_S 10.0           /* a start without an aim: fetching this long is like a full
-                                         machine */
-#define TMX_NO_AIM_S 600.0            /* when a job of a class without an aim counts as late */
-#define TMX_ENDS_ROUND 512            /* ended attempts taken into one round */
-#define TMX_CLASSES_MAX 32            /* classes whose run times are learned */
-#define TMX_LEARN_LEAST 8             /* tasks seen before the owners' estimates are corrected */
-#define TMX_LEARN_LAST 200            /* tasks over which the correction is averaged */
-#define TMX_LEARN_BOUND 2.0           /* of the logarithm: one task counts as 7 times off at most */
-#define TMX_PLAN_TASKS 400            /* tasks placed in one round at most */
+#define TMX_LINE_MAX 256         /* bytes; a line of the log: four names at most */
+#define TMX_LINE_TYPICAL 26      /* bytes; a placement: bounds what is planned at once */
+#define TMX_ROUND_SPACING_S 0.03 /* least time between two rounds of one controller */
+#define TMX_ROUND_PUTS 2.05      /* puts of the smallest batch: one value and head */
+#define TMX_FINISHED_MAX 64      /* jobs that end in one batch */
+#define TMX_RESENDS 6            /* of a batch that lost the race for head; then planned anew */
+#define TMX_REGISTER_MAX 256     /* machines registered in one batch */
+#define TMX_PLAN_VISITS 400000   /* machines and tasks looked at in one round: about 20 ms */
+#define TMX_BEGIN_S                                                                                \
+  150.0                       /* a job that waited this long gets a first task, and a share of the \
+                                 room with others as old: the largest begin within four minutes */
+#define TMX_LANE_SHARE 0.1    /* of the tasks placed: that share for the oldest jobs */
+#define TMX_MOVES_LEAST 2     /* replicas down at a time because machines are returned ... */
+#define TMX_MOVES_SHARE 0.002 /* ... or this share of all replicas */
+#define TMX_ROUND_IDLE_S 2.0  /* the paper's draft period: a round without an event */
+#define TMX_ENDS_DELAY_S 0.25 /* completions wait this long to share a batch */
+#define TMX_LEADER_GRACE_S 0.2 /* a job's own controller goes first this long, and one full turn \
+                                */
+#define TMX_WRITE_SHARE 0.8    /* of the write rate for batches; some is left for lost races */
+#define TMX_SUBMIT_SHARE 0.08  /* ... for submissions that go out singly ... */
+#define TMX_SUBMIT_BURST 3.0   /* ... so many at once */
+#define TMX_PATIENCE_S                                                                   \
+  10.0                      /* a start without an aim: fetching this long is like a full \
+                               machine */
+#define TMX_NO_AIM_S 600.0  /* when a job of a class without an aim counts as late */
+#define TMX_ENDS_ROUND 512  /* ended attempts taken into one round */
+#define TMX_CLASSES_MAX 32  /* classes whose run times are learned */
+#define TMX_LEARN_LEAST 8   /* tasks seen before the owners' estimates are corrected */
+#define TMX_LEARN_LAST 200  /* tasks over which the correction is averaged */
+#define TMX_LEARN_BOUND 2.0 /* of the logarithm: one task counts as 7 times off at most */
+#define TMX_PLAN_TASKS 400  /* tasks placed in one round at most */
 
 /* --- workers (s) --- */
-#define TMX_BUMP_BITS 24              /* of a token, below the term: bumps of one machine */
+#define TMX_BUMP_BITS 24 /* of a token, below the term: bumps of one machine */
 #define TMX_BUMP_MAX ((1u << TMX_BUMP_BITS) - 1)
-#define TMX_COMMAND_TIMEOUT_S 1.5     /* unanswered after this: bump the token */
-#define TMX_WORKERS_MAX 8192          /* machines known at a time */
-#define TMX_GONE_KEPT 8192            /* names of machines that are gone, for late copies of reports */
-#define TMX_ORDERS_MAX 400            /* orders in one answer */
-#define TMX_WORKER_CONNS_SHARE 0.3    /* of the sockets: connections kept to workers */
-#define TMX_TAKE_AFTER_S 3.5          /* a worker that is back this long after being sent to its owner
-                                         cannot reach it (it waits 4 s for an answer): take it over */
-#define TMX_TAKE_WITHIN_S 20.0        /* ... and within this */
-#define TMX_TAKE_SILENT_S 2.0         /* ... or one that its owner has not heard for this long */
-#define TMX_TAKE_MAX 200              /* machines taken over in one view */
-#define TMX_TAKE_HOLD_S 0.6           /* a report waits this long for the view that takes its worker */
-#define TMX_VIEW_SPACING_S 0.15       /* between two views of one controller */
-#define TMX_REPORT_LATE_S 1.0         /* past report_s and a quarter: a report is missing */
-#define TMX_PROBE_AFTER_S 0.6         /* no proof of reaching a machine for this long: it is asked ... */
-#define TMX_PROBE_SHARE 0.12          /* ... as far as this share of the processor goes */
-#define TMX_PROBE_COST_S 0.00025      /* processor time of a probe, measured */
-#define TMX_PROBE_S 0.5               /* between probes in doubt, and the wait for an answer */
-#define TMX_ZONE_CUT_S 4.0            /* a zone counts as cut off for this long after the last sign */
-#define TMX_PROBES_LOST 3             /* in a row: the machine is given up */
-#define TMX_SILENT_S 1.5              /* ... if it gave no other sign for this long */
-#define TMX_REACH_LEAST 4             /* machines: fewer say nothing of a controller's own trouble */
-#define TMX_SWEEP_S 0.25              /* machines are looked through this often */
-#define TMX_SETTLE_S 3.0              /* a new leader first hears its peers and the workers */
-#define TMX_SICK_ERRORS 4             /* errors in a row from two jobs or more: a faulty machine */
-#define TMX_RETRY_BASE_S 0.5          /* backoff of a job whose tasks fail: doubles a failure */
-#define TMX_RETRY_MAX_S 30.0          /* and ends here */
+#define TMX_COMMAND_TIMEOUT_S 1.5  /* unanswered after this: bump the token */
+#define TMX_WORKERS_MAX 8192       /* machines known at a time */
+#define TMX_GONE_KEPT 8192         /* names of machines that are gone, for late copies of reports */
+#define TMX_ORDERS_MAX 400         /* orders in one answer */
+#define TMX_WORKER_CONNS_SHARE 0.3 /* of the sockets: connections kept to workers */
+#define TMX_TAKE_AFTER_S                                                                          \
+  3.5                            /* a worker that is back this long after being sent to its owner \
+                                    cannot reach it (it waits 4 s for an answer): take it over */
+#define TMX_TAKE_WITHIN_S 20.0   /* ... and within this */
+#define TMX_TAKE_SILENT_S 2.0    /* ... or one that its owner has not heard for this long */
+#define TMX_TAKE_MAX 200         /* machines taken over in one view */
+#define TMX_TAKE_HOLD_S 0.6      /* a report waits this long for the view that takes its worker */
+#define TMX_VIEW_SPACING_S 0.15  /* between two views of one controller */
+#define TMX_REPORT_LATE_S 1.0    /* past report_s and a quarter: a report is missing */
+#define TMX_PROBE_AFTER_S 0.6    /* no proof of reaching a machine for this long: it is asked ... */
+#define TMX_PROBE_SHARE 0.12     /* ... as far as this share of the processor goes */
+#define TMX_PROBE_COST_S 0.00025 /* processor time of a probe, measured */
+#define TMX_PROBE_S 0.5          /* between probes in doubt, and the wait for an answer */
+#define TMX_ZONE_CUT_S 4.0       /* a zone counts as cut off for this long after the last sign */
+#define TMX_PROBES_LOST 3        /* in a row: the machine is given up */
+#define TMX_SILENT_S 1.5         /* ... if it gave no other sign for this long */
+#define TMX_REACH_LEAST 4        /* machines: fewer say nothing of a controller's own trouble */
+#define TMX_SWEEP_S 0.25         /* machines are looked through this often */
+#define TMX_SETTLE_S 3.0         /* a new leader first hears its peers and the workers */
+#define TMX_SICK_ERRORS 4        /* errors in a row from two jobs or more: a faulty machine */
+#define TMX_RETRY_BASE_S 0.5     /* backoff of a job whose tasks fail: doubles a failure */
+#define TMX_RETRY_MAX_S 30.0     /* and ends here */
 
 /* --- peers (s) --- */
-#define TMX_BEAT_S 0.4                /* heartbeat period */
-#define TMX_BEAT_DEAD_S 1.3           /* refused and silent for this long: advice that it is dead */
-#define TMX_BEAT_LOST_S 2.5           /* silent for this long: its advice no longer counts */
-#define TMX_SILENT_PEER_S 3.5         /* it alone is silent for this long: left out of the view */
-#define TMX_WROTE_ALIVE_S 1.6         /* a batch of its this young: refused, and yet alive */
-#define TMX_SPLIT_HOLD_S 5.0          /* zones are taken to be apart until heard for this long */
+#define TMX_BEAT_S 0.4        /* heartbeat period */
+#define TMX_BEAT_DEAD_S 1.3   /* refused and silent for this long: advice that it is dead */
+#define TMX_BEAT_LOST_S 2.5   /* silent for this long: its advice no longer counts */
+#define TMX_SILENT_PEER_S 3.5 /* it alone is silent for this long: left out of the view */
+#define TMX_WROTE_ALIVE_S 1.6 /* a batch of its this young: refused, and yet alive */
+#define TMX_SPLIT_HOLD_S 5.0  /* zones are taken to be apart until heard for this long */
 
 /* --- users (s) --- */
-#define TMX_USER_WAIT_S 1.5           /* a waiting poll is refused after this; users wait 2 s */
-#define TMX_SUBMIT_WAIT_S 2.5         /* a waiting submission is refused; users wait 5 s */
-#define TMX_RETRY_AFTER_MIN 1         /* s; spread of Retry-After so that returns come apart */
-#define TMX_RETRY_AFTER_SPAN 2        /* s */
-#define TMX_POLL_FAIR_S 20.0          /* a job of which nobody was told for this long goes first */
-#define TMX_USER_QUEUE 400            /* requests waiting for the state; more are refused at once */
+#define TMX_USER_WAIT_S 1.5    /* a waiting poll is refused after this; users wait 2 s */
+#define TMX_SUBMIT_WAIT_S 2.5  /* a waiting submission is refused; users wait 5 s */
+#define TMX_RETRY_AFTER_MIN 1  /* s; spread of Retry-After so that returns come apart */
+#define TMX_RETRY_AFTER_SPAN 2 /* s */
+#define TMX_POLL_FAIR_S 20.0   /* a job of which nobody was told for this long goes first */
+#define TMX_USER_QUEUE 400     /* requests waiting for the state; more are refused at once */
 
 /* --- cloud (s) --- */
 #define TMX_CLOUD_TIMEOUT_S 5.0
-#define TMX_CATALOG_S 60.0            /* prices move; the catalog is read again */
+#define TMX_CATALOG_S 60.0 /* prices move; the catalog is read again */
 #define TMX_CATALOG_RETRY_S 0.5
-#define TMX_LIST_S 2.0                /* the machine list is read by the leader */
-#define TMX_RENT_S 1.0                /* capacity is weighed this often */
-#define TMX_REFUSED_S 15.0            /* a refused type, zone and kind rests; doubles */
+#define TMX_LIST_S 2.0     /* the machine list is read by the leader */
+#define TMX_RENT_S 1.0     /* capacity is weighed this often */
+#define TMX_REFUSED_S 15.0 /* a refused type, zone and kind rests; doubles */
 #define TMX_REFUSED_MAX_S 120.0
-#define TMX_IDLE_RETURN_S 75.0        /* an empty machine is returned: the least charge is 60 s */
-#define TMX_PEAK_S 60                 /* room is kept for the peak of this long: the least charge of
-                                         a machine, and longer than a boot */
-#define TMX_ROOM_OVER_PEAK 0.1        /* ... and this share more */
-#define TMX_ROOM_TO_MOVE 2.0          /* times a machine's replicas must be free in its zone first */
-#define TMX_ROOM_AFTER 0.2            /* ... and this share of the zone's part of the peak */
-#define TMX_DRAIN_SPACING_S 3.0       /* between two choices of machines to be returned ... */
-#define TMX_DRAIN_SHARE 0.03          /* ... and the share of all CPUs in one choice; one machine at least */
-#define TMX_CLEAR_S 10.0              /* a backlog that is cleared in this time needs no new machines ... */
-#define TMX_CLEAR_DEAR_S 40.0         /* ... and no ordinary ones in this, if spot ones would do */
-#define TMX_HIRE_MAX 50               /* machines; PROTOCOL's limit of one request */
-#define TMX_HIRES_ROUND 1024          /* machines rented in one weighing */
-#define TMX_DELETE_MAX 100            /* machines; PROTOCOL's limit of one request */
-#define TMX_UNREACHED_LEASES 0.5      /* of a lease: a machine that is heard and not reached is replaced */
-#define TMX_NEVER_HEARD_S 25.0        /* listed as running and silent for this long, and two reports */
-#define TMX_BOOT_LATE 4.0             /* times boot_s: a machine that boots longer is returned */
-#define TMX_USE_LOG_S 10.0            /* between lines about what is rented and used */
-#define TMX_HEADROOM 0.08             /* of the room booked by services, kept free for restarts */
+#define TMX_IDLE_RETURN_S 75.0 /* an empty machine is returned: the least charge is 60 s */
+#define TMX_PEAK_S                                                                             \
+  60                            /* room is kept for the peak of this long: the least charge of \
+                                   a machine, and longer than a boot */
+#define TMX_ROOM_OVER_PEAK 0.1  /* ... and this share more */
+#define TMX_ROOM_TO_MOVE 2.0    /* times a machine's replicas must be free in its zone first */
+#define TMX_ROOM_AFTER 0.2      /* ... and this share of the zone's part of the peak */
+#define TMX_DRAIN_SPACING_S 3.0 /* between two choices of machines to be returned ... */
+#define TMX_DRAIN_SHARE 0.03  /* ... and the share of all CPUs in one choice; one machine at least \
+                               */
+#define TMX_CLEAR_S 10.0      /* a backlog that is cleared in this time needs no new machines ... */
+#define TMX_CLEAR_DEAR_S 40.0 /* ... and no ordinary ones in this, if spot ones would do */
+#define TMX_DRAIN_HELD 0.08   /* of all CPUs on machines that wait for replicas to leave them */
+#define TMX_HIRE_MAX 50       /* machines; PROTOCOL's limit of one request */
+#define TMX_HIRES_ROUND 1024  /* machines rented in one weighing */
+#define TMX_DELETE_MAX 100    /* machines; PROTOCOL's limit of one request */
+#define TMX_UNREACHED_LEASES \
+  0.5                          /* of a lease: a machine that is heard and not reached is replaced */
+#define TMX_NEVER_HEARD_S 25.0 /* listed as running and silent for this long, and two reports */
+#define TMX_BOOT_LATE 4.0      /* times boot_s: a machine that boots longer is returned */
+#define TMX_USE_LOG_S 10.0     /* between lines about what is rented and used */
+#define TMX_HEADROOM 0.08      /* of the room booked by services, kept free for restarts */
 
 #endif
--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -415,8 +415,7 @@
   }
   if (!d.n) return;
   /* room that is there or on its way */
-  struct tmx_coming *cm =
-      calloc(HASH_COUNT(r->machines) + HASH_COUNT(k->listed) + 1, sizeof *cm);
+  struct tmx_coming *cm = calloc(HASH_COUNT(r->machines) + HASH_COUNT(k->listed) + 1, sizeof *cm);
   if (!cm) abort();
   struct tmx_machine *m, *mt;
   HASH_ITER(hh, r->machines, m, mt) {
@@ -424,8 +423,8 @@
     if (!t || !m->known || m->drain) continue;
     have += t->cpus;
     if (m->usable && t->cpus > m->cpus && t->mem > m->mem)
-      cm[n_c++] = (struct tmx_coming){t,       m->zone, m->spot, t->cpus - m->cpus, t->gpus - m->gpus,
-                                      t->mem - m->mem};
+      cm[n_c++] = (struct tmx_coming){
+          t, m->zone, m->spot, t->cpus - m->cpus, t->gpus - m->gpus, t->mem - m->mem};
   }
   struct listed *l, *lt;
   HASH_ITER(hh, k->listed, l, lt) {
@@ -510,8 +509,8 @@
 }
 
 /* Returns the dearest machines that the peak of the last while would not have needed, a few at a
- * time. Their arrays run to their end; their replicas move, so room for them must be free in the same
- * zone. */
+ * time. Their arrays run to their end; their replicas move, so room for them must be free in the
+ * same zone. */
 static void shrink(struct tmx_cloud *k, double booked, bool waiting) {
   struct tmx_ctl *c = k->c;
   struct tmx_replica *r = &c->rep;
@@ -553,7 +552,7 @@
       continue;
     /* price of a CPU, less for work under way and for replicas that must move */
     v[n++] = (struct choice){m, (m->spot ? t->spot_price : t->price) / t->cpus *
-                                    (1.2 - m->cpus / t->cpus) * (1 - 0.5 * services / t->cpus)};
+                                    (1.2 - m->cpus / t->cpus) * (1 - 0.8 * services / t->cpus)};
   }
   qsort(v, n, sizeof *v, dearest);
   /* Machines with replicas go a few at a time: every one of them is a restart for somebody. */
@@ -563,7 +562,7 @@
     bool holds = false;
     for (struct tmx_task *t = x->tasks; t && !holds; t = t->next) holds = t->job->spec.service;
     if (have - cpus < peak * (1 + TMX_ROOM_OVER_PEAK)) continue;
-    if (holds && draining > 0 && draining + cpus > step) continue;
+    if (holds && draining > 0 && draining + cpus > TMX_DRAIN_HELD * have) continue;
     if (holds) draining += cpus;
     have -= cpus;
     returning += cpus;
@@ -593,10 +592,11 @@
   }
   HASH_ITER(hh, k->c->rep.jobs, j, jt)
   if (!j->fin) waiting += (j->spec.tasks - j->n_done - j->n_placed) * j->spec.cpus;
-  tmx_log(TMX_INFO,
-          "use: %zu machines (%zu not usable), CPUs booked %.0f of %.0f, spot %.0f of %.0f, services "
-          "%.0f, being returned %.0f, waiting %.0f",
-          n, unusable, booked[0], cpus[0], booked[1], cpus[1], services, drain, waiting);
+  tmx_log(
+      TMX_INFO,
+      "use: %zu machines (%zu not usable), CPUs booked %.0f of %.0f, spot %.0f of %.0f, services "
+      "%.0f, being returned %.0f, waiting %.0f",
+      n, unusable, booked[0], cpus[0], booked[1], cpus[1], services, drain, waiting);
 }
 
 static void sweep(struct tmx_cloud *k) {
@@ -660,8 +660,7 @@
     if (l && l->state == LS_FAILED)
       why = "failed";
     else if (settled && lost && x.silence > silent &&
-             (m->zone < 0 || now > k->cut_until[m->zone] ||
-              (x.silence > c->set.lease_s && lapsed)))
+             (m->zone < 0 || now > k->cut_until[m->zone] || (x.silence > c->set.lease_s && lapsed)))
       why = "silent";
     else if (settled && doubt && now > k->cut_until[m->zone < 0 ? 0 : m->zone] &&
              x.unreached > c->set.lease_s * TMX_UNREACHED_LEASES)
--- a/src/controller.c
+++ b/src/controller.c
@@ -127,7 +127,8 @@
   for (size_t i = 0; i < c->rep.n_nodes; i++) {
     const char *n = c->rep.nodes[i].name;
     if (!strcmp(n, c->set.node)) continue;
-    bool heard = tmx_peers_silence(c->peers, n) < TMX_BEAT_LOST_S, near = tmx_node_zone(&c->set, n) == zone;
+    bool heard = tmx_peers_silence(c->peers, n) < TMX_BEAT_LOST_S,
+         near = tmx_node_zone(&c->set, n) == zone;
     o.others++;
     o.heard += heard;
     o.mine += near;
@@ -154,7 +155,8 @@
   if (tmx_peers_cut(c->peers, name)) return true;
   if (split(o)) return false;
   return o->others >= 2 && o->heard * 2 >= o->others &&
-         tmx_peers_silence(c->peers, name) > TMX_SILENT_PEER_S && now - c->led_at > TMX_SILENT_PEER_S;
+         tmx_peers_silence(c->peers, name) > TMX_SILENT_PEER_S &&
+         now - c->led_at > TMX_SILENT_PEER_S;
 }
 
 /* The leader keeps the members equal to the registered runs, without those that seem lost. */
@@ -245,12 +247,14 @@
   const char *l = c->rep.leader;
   double now = tmx_now();
   if (!c->rep.leader_stamp || !strcmp(l, c->set.node) || tmx_ctl_no_workers(c)) return false;
-  if (tmx_peers_refused(c->peers, l)) return now - tmx_replica_wrote(&c->rep, l) > TMX_WROTE_ALIVE_S;
+  if (tmx_peers_refused(c->peers, l))
+    return now - tmx_replica_wrote(&c->rep, l) > TMX_WROTE_ALIVE_S;
   if (tmx_peers_cut(c->peers, l)) return true;
   struct outlook o = look_around(c);
   if (split(&o)) return false;
   return o.others >= 3 && o.heard * 2 >= o.others &&
-         tmx_peers_silence(c->peers, l) > TMX_SILENT_PEER_S && now - c->started_at > TMX_SILENT_PEER_S;
+         tmx_peers_silence(c->peers, l) > TMX_SILENT_PEER_S &&
+         now - c->started_at > TMX_SILENT_PEER_S;
 }
 
 static void on_tick(struct ev_loop *l, ev_timer *w, int ev) {
--- a/src/controller.h
+++ b/src/controller.h
@@ -39,10 +39,10 @@
 struct tmx_ctl *tmx_ctl_new(struct ev_loop *loop, const struct tmx_settings *s, char *err,
                             size_t cap);
 void tmx_ctl_free(struct tmx_ctl *c);
-int tmx_ctl_self(const struct tmx_ctl *c);           /* member index; -1: none */
-bool tmx_ctl_fresh(const struct tmx_ctl *c);       /* may act for the controllers */
-bool tmx_ctl_cut_off(const struct tmx_ctl *c);     /* from a state service that others reach */
-bool tmx_ctl_no_workers(const struct tmx_ctl *c);  /* it reaches hardly any of its own */
+int tmx_ctl_self(const struct tmx_ctl *c);        /* member index; -1: none */
+bool tmx_ctl_fresh(const struct tmx_ctl *c);      /* may act for the controllers */
+bool tmx_ctl_cut_off(const struct tmx_ctl *c);    /* from a state service that others reach */
+bool tmx_ctl_no_workers(const struct tmx_ctl *c); /* it reaches hardly any of its own */
 uint64_t tmx_ctl_token(const struct tmx_ctl *c, uint32_t bump);
 /* Takes machines over from owners that they cannot reach. */
 void tmx_ctl_take(struct tmx_ctl *c, const char *const *machines, size_t n);
@@ -94,8 +94,8 @@
  * something is wrong with. */
 struct tmx_suspect {
   char id[TMX_ID_MAX];
-  double silence;  /* s without a sign of life */
-  int lost;        /* probes in a row */
+  double silence;   /* s without a sign of life */
+  int lost;         /* probes in a row */
   double unreached; /* s that nothing has shown that it hears us; 0: it does */
   bool notice;
 };
--- a/src/core/capacity.c
+++ b/src/core/capacity.c
@@ -32,13 +32,11 @@
   struct bin *bins = calloc(cap, sizeof *bins);
   if (!bins) abort();
   for (size_t i = 0; i < n_c; i++)
-    bins[n_bins++] =
-        (struct bin){c[i].cpus, c[i].gpus, c[i].mem, c[i].type, c[i].zone, c[i].spot};
+    bins[n_bins++] = (struct bin){c[i].cpus, c[i].gpus, c[i].mem, c[i].type, c[i].zone, c[i].spot};
   /* Work that the machines at hand clear within about the boot time needs no new ones. */
   double backlog = 0;
   for (size_t i = 0; i < n_d; i++)
-    if (!d[i].spec->service)
-      backlog += d[i].tasks * d[i].spec->cpus * fmax(d[i].run_s, 5);
+    if (!d[i].spec->service) backlog += d[i].tasks * d[i].spec->cpus * fmax(d[i].run_s, 5);
   for (size_t i = 0; i < n_d; i++) {
     const struct tmx_spec *s = d[i].spec;
     uint32_t left = d[i].tasks;
@@ -61,8 +59,8 @@
       double best_v = 0;
       for (size_t k = 0; k < n_o; k++) {
         if (!suits(s, o[k].type, o[k].zone, o[k].spot, &d[i])) continue;
-        /* arrays that may run on spot machines get dear ones only for a backlog that lasts: replicas
-         * settle on those, and they are slow to be returned */
+        /* arrays that may run on spot machines get dear ones only for a backlog that lasts:
+         * replicas settle on those, and they are slow to be returned */
         if (!s->service && have > 0 &&
             backlog / have < (s->spot && !o[k].spot ? TMX_CLEAR_DEAR_S : TMX_CLEAR_S))
           continue;
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -44,5 +44,4 @@
   uint64_t round;
   double lane_credit; /* array tasks that overdue jobs may place first */
 };
-void *tmx_grow(void *v, size_t *cap, size_t need, size_t size); /* zeroes what is new */
 #endif
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -103,8 +103,7 @@
 }
 
 static void take_back(struct round *r) {
-  for (size_t i = 0; i < r->n_marks; i++)
-    r->marks[i].p->r.tasks[r->marks[i].task].stopping = false;
+  for (size_t i = 0; i < r->n_marks; i++) r->marks[i].p->r.tasks[r->marks[i].task].stopping = false;
   for (size_t i = 0; i < r->n_undo; i++) {
     struct pm *p = r->undo[i];
     p->r.ucpus = p->saved.ucpus;
@@ -612,8 +611,8 @@
   qsort(order, n, sizeof *order, by_rank);
   size_t i = 0;
   for (; i < n && standing(order[i]) == 2; i++) place(&r, order[i], UINT32_MAX);
-  /* A bounded wait inside the order: a job that has waited long without a start gets one task, and a
-   * share of the room goes to the jobs that are oldest, however large they are. */
+  /* A bounded wait inside the order: a job that has waited long without a start gets one task, and
+   * a share of the room goes to the jobs that are oldest, however large they are. */
   uint32_t lane = 0;
   for (size_t k = 0; k < n; k++) {
     struct pj *j = oldest[k];
--- a/src/core/plan.h
+++ b/src/core/plan.h
@@ -33,15 +33,15 @@
 struct tmx_plan_job { /* one job as it stands, by its slot */
   int slot;
   char id[TMX_ID_MAX];
-  struct tmx_spec *spec;   /* taken over; NULL: as before */
-  int team, planner;       /* member index */
-  int zone;                /* the only one allowed; -1: any */
-  double submitted;        /* time of day, s */
-  double stuck_since;      /* steady clock, s: no task of it was placed since; 0: none waits */
-  double retry_at;         /* steady clock, s: not before */
-  double aim_s, run_s;     /* when it should be done; how long a task is expected to run */
+  struct tmx_spec *spec; /* taken over; NULL: as before */
+  int team, planner;     /* member index */
+  int zone;              /* the only one allowed; -1: any */
+  double submitted;      /* time of day, s */
+  double stuck_since;    /* steady clock, s: no task of it was placed since; 0: none waits */
+  double retry_at;       /* steady clock, s: not before */
+  double aim_s, run_s;   /* when it should be done; how long a task is expected to run */
   uint32_t n_done, n_placed;
-  bool open;               /* else only its placed tasks count */
+  bool open;                   /* else only its placed tasks count */
   struct tmx_plan_wait *waits; /* the first of those that wait; taken over */
   size_t n_waits;
   uint32_t zone_live[TMX_ZONES_MAX];
@@ -73,6 +73,8 @@
   bool cut;          /* the round's bound was reached: the next one is due at once */
 };
 
+void *tmx_grow(void *v, size_t *cap, size_t need, size_t size); /* zeroes what is new */
+
 struct tmx_model;
 struct tmx_model *tmx_model_new(void);
 void tmx_model_free(struct tmx_model *md);
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -217,11 +217,11 @@
     if (!g->v || !g->ids) abort();
   }
   memcpy(g->ids[g->n], d->id, TMX_ID_MAX);
-  g->v[g->n++] = (tmx_beat_suspect){
-      .silence_ms = d->silence > 1e6 ? UINT32_MAX : (u_int)(d->silence * 1000),
-      .lost = d->lost > 0 ? (u_int)d->lost : 0,
-      .unreached_ms = (u_int)(fmin(d->unreached, 1e6) * 1000),
-      .notice = d->notice};
+  g->v[g->n++] =
+      (tmx_beat_suspect){.silence_ms = d->silence > 1e6 ? UINT32_MAX : (u_int)(d->silence * 1000),
+                         .lost = d->lost > 0 ? (u_int)d->lost : 0,
+                         .unreached_ms = (u_int)(fmin(d->unreached, 1e6) * 1000),
+                         .notice = d->notice};
 }
 
 static void send_beats(struct tmx_peers *p) {
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -37,7 +37,7 @@
   struct arrival *arrivals[TMX_ARRIVALS_MAX];
   size_t n_arrivals;
   double round_at, wait_rev_at;
-  double puts; /* that the next batch needs at least */
+  double puts;       /* that the next batch needs at least */
   uint64_t wait_rev; /* the next step needs the replica to be here */
   int resent;
   uint64_t key_seq, key_mark;
@@ -63,14 +63,6 @@
   ev_async done;
 };
 
-static void *grow(void *v, size_t *cap, size_t need, size_t size) {
-  if (need <= *cap) return v;
-  *cap = need * 2 + 16;
-  v = realloc(v, *cap * size);
-  if (!v) abort();
-  return v;
-}
-
 /* ------------------------------------------------------------ planner thread */
 
 static void *planner_main(void *arg) {
@@ -119,13 +111,13 @@
 void tmx_rounds_machine(struct tmx_rounds *p, struct tmx_machine *m) {
   if (m->dirty) return;
   m->dirty = true;
-  p->machines = grow(p->machines, &p->cap_machines, p->n_machines + 1, sizeof *p->machines);
+  p->machines = tmx_grow(p->machines, &p->cap_machines, p->n_machines + 1, sizeof *p->machines);
   p->machines[p->n_machines++] = m;
 }
 void tmx_rounds_job(struct tmx_rounds *p, struct tmx_job *j) {
   if (j->dirty) return;
   j->dirty = true;
-  p->jobs = grow(p->jobs, &p->cap_jobs, p->n_jobs + 1, sizeof *p->jobs);
+  p->jobs = tmx_grow(p->jobs, &p->cap_jobs, p->n_jobs + 1, sizeof *p->jobs);
   p->jobs[p->n_jobs++] = j;
 }
 void tmx_rounds_gone(struct tmx_rounds *p, struct tmx_machine *m) {
@@ -144,7 +136,7 @@
 void tmx_rounds_line(struct tmx_rounds *p, const char *line) {
   for (size_t i = 0; i < p->n_lines; i++)
     if (!strcmp(p->lines[i].text, line)) return;
-  p->lines = grow(p->lines, &p->cap_lines, p->n_lines + 1, sizeof *p->lines);
+  p->lines = tmx_grow(p->lines, &p->cap_lines, p->n_lines + 1, sizeof *p->lines);
   struct line *l = &p->lines[p->n_lines++];
   memset(l, 0, sizeof *l);
   snprintf(l->text, sizeof l->text, "%s", line);
@@ -222,8 +214,8 @@
       f->sgpus += s->gpus;
       f->smem += s->mem;
     }
-    f->tasks[f->n_tasks++] = (struct tmx_plan_task){t->job->slot, tmx_task_index(t), t->attempt,
-                                                    t->placed_at, stopping};
+    f->tasks[f->n_tasks++] =
+        (struct tmx_plan_task){t->job->slot, tmx_task_index(t), t->attempt, t->placed_at, stopping};
   }
 }
 
@@ -401,7 +393,8 @@
 /* In a value they come before the lines, so they are the first to go in. */
 static void add_arrivals(struct tmx_rounds *p, struct batch *b) {
   bool full = false;
-  int conds = p->c->set.txn_ops * 3; /* PROTOCOL allows four times as many; finished jobs need some */
+  int conds =
+      p->c->set.txn_ops * 3; /* PROTOCOL allows four times as many; finished jobs need some */
   sort_arrivals(p);
   for (size_t i = 0; i < p->n_arrivals; i++) {
     struct arrival *a = p->arrivals[i];
@@ -468,8 +461,8 @@
   return p->wait_rev <= p->c->rep.rev || tmx_now() - p->wait_rev_at > TMX_STATE_TIMEOUT_S;
 }
 
-/* A few submissions go out at once, each as a put; when there are many, or puts are short, they wait
- * for the next batch, which holds dozens in one. */
+/* A few submissions go out at once, each as a put; when there are many, or puts are short, they
+ * wait for the next batch, which holds dozens in one. */
 void tmx_rounds_flush(struct tmx_rounds *p) {
   struct tmx_ctl *c = p->c;
   size_t idle = 0;
@@ -586,8 +579,8 @@
   struct tmx_worker_facts facts[TMX_REGISTER_MAX];
   size_t n_f = more ? 0 : tmx_workers_unregistered(c->workers, facts, TMX_REGISTER_MAX);
   for (size_t i = 0; i < n_f && !more; i++) {
-    snprintf(line, sizeof line, "m %.31s %.63s %.31s %.63s %d 0", facts[i].id, facts[i].addr, facts[i].type,
-             facts[i].zone, facts[i].spot);
+    snprintf(line, sizeof line, "m %.31s %.63s %.31s %.63s %d 0", facts[i].id, facts[i].addr,
+             facts[i].type, facts[i].zone, facts[i].spot);
     more = !add_line(&b, line, 0);
   }
   if (n_f == TMX_REGISTER_MAX) more = true;
@@ -632,9 +625,9 @@
   tmx_rounds_kick_in(c, TMX_STATE_RETRY_S);
 }
 
-/* How long until this member may send a batch, s. Whoever loses the race for head has spent its puts
- * for nothing, so while puts are short each member keeps to its turn of the time of day; the leader
- * has two. A batch that is late finds out by its condition: nothing depends on clocks. */
+/* How long until this member may send a batch, s. Whoever loses the race for head has spent its
+ * puts for nothing, so while puts are short each member keeps to its turn of the time of day; the
+ * leader has two. A batch that is late finds out by its condition: nothing depends on clocks. */
 static double turn(struct tmx_rounds *p) {
   struct tmx_ctl *c = p->c;
   size_t n = c->rep.view.n_members;
--- a/src/state/check.c
+++ b/src/state/check.c
@@ -45,8 +45,8 @@
   if (!m->known || m->drain || m->zone < 0 || j->team < 0 || (m->spot && !s->spot)) return false;
   if (!tmx_type_allowed(s, m->type)) return false;
   if (s->zone[0] && tmx_zone_index(set, s->zone) != m->zone) return false;
-  if (m->check_cpus + s->cpus > m->size_cpus + EPS || m->check_gpus + s->gpus > m->size_gpus + EPS ||
-      m->check_mem + s->mem > m->size_mem + EPS)
+  if (m->check_cpus + s->cpus > m->size_cpus + EPS ||
+      m->check_gpus + s->gpus > m->size_gpus + EPS || m->check_mem + s->mem > m->size_mem + EPS)
     return false;
   const struct tmx_team_conf *t = &set->teams[j->team];
   const struct tmx_usage *u = &c->usage[j->team];
--- a/src/state/link.c
+++ b/src/state/link.c
@@ -53,7 +53,7 @@
   int n_waiters;
   /* write budget */
   double tokens, tokens_at;
-  double submits; /* puts kept apart for submissions */
+  double submits;       /* puts kept apart for submissions */
   double used;          /* puts of all over the last TMX_USED_S, older ones fading */
   double pool, pool_at; /* the service's own bucket of puts, as the events of all tell */
   double watch_tokens, watch_at;
@@ -145,8 +145,8 @@
 static void start_load(struct tmx_link *k) {
   char path[TMX_PATH_MAX + 64];
   if (k->loading) return;
-  snprintf(path, sizeof path, WP_KV "?prefix=" TMX_KEYS "%s%s&page=1000", k->from[0] ? "&from=" : "",
-           k->from);
+  snprintf(path, sizeof path, WP_KV "?prefix=" TMX_KEYS "%s%s&page=1000",
+           k->from[0] ? "&from=" : "", k->from);
   k->loading = tmx_client_call(k->calls, "GET", path, NULL, TMX_STATE_TIMEOUT_S * 2, on_page, k);
   if (!k->loading) {
     load_reset(k);
@@ -272,8 +272,7 @@
 static void start_read(struct tmx_link *k) {
   if (k->reading || ev_is_active(&k->confirm_t)) return;
   struct waiter *w;
-  bool wanted =
-      tmx_now() - k->last_read > (k->unserved ? TMX_STATE_RETRY_S : TMX_CONFIRM_IDLE_S);
+  bool wanted = tmx_now() - k->last_read > (k->unserved ? TMX_STATE_RETRY_S : TMX_CONFIRM_IDLE_S);
   DL_FOREACH(k->waiters, w) if (!w->need) wanted = true;
   if (!wanted) return;
   double wait = k->last_read + sharers(k) / (k->set->state_rps * TMX_CONFIRM_SHARE) - tmx_now();
@@ -369,10 +368,12 @@
   k->used *= exp(-(now - k->pool_at) / TMX_USED_S);
   k->pool = fmin(fmax(k->pool, -all) + (now - k->pool_at) * all, all);
   k->pool_at = now;
-  double burst = fmax(rate * TMX_PUT_BURST_S, TMX_PUT_BURST_LEAST); /* together less than the service's one second */
+  double burst = fmax(rate * TMX_PUT_BURST_S,
+                      TMX_PUT_BURST_LEAST); /* together less than the service's one second */
   k->tokens = fmin(k->tokens + (now - k->tokens_at) * rate, burst);
-  k->submits = fmin(k->submits + (now - k->tokens_at) * k->set->write_rps * TMX_SUBMIT_SHARE / sharers(k),
-                    TMX_SUBMIT_BURST);
+  k->submits =
+      fmin(k->submits + (now - k->tokens_at) * k->set->write_rps * TMX_SUBMIT_SHARE / sharers(k),
+           TMX_SUBMIT_BURST);
   k->tokens_at = now;
 }
 
--- a/src/state/replica.c
+++ b/src/state/replica.c
@@ -453,7 +453,8 @@
     snprintf(c->name, sizeof c->name, "%s", s->class);
   }
   double x = log(ran / s->estimate_s);
-  x = fmax(-TMX_LEARN_BOUND, fmin(TMX_LEARN_BOUND, x)); /* a hung machine tells nothing of the class */
+  x = fmax(-TMX_LEARN_BOUND,
+           fmin(TMX_LEARN_BOUND, x)); /* a hung machine tells nothing of the class */
   if (c->n < TMX_LEARN_LAST) c->n++;
   c->log_ratio += (x - c->log_ratio) / c->n;
 }
--- a/src/state/replica.h
+++ b/src/state/replica.h
@@ -37,7 +37,7 @@
 
 #define TMX_IMAGES_KEPT 12
 struct tmx_image {
-  int id; /* see tmx_image_id */
+  int id;       /* see tmx_image_id */
   double since; /* steady clock, s: when its fetch began; of old, if read at the start */
 };
 
@@ -86,10 +86,10 @@
   char id[TMX_ID_MAX], addr[TMX_NAME_MAX], type[TMX_ID_MAX];
   int zone;                /* index, -1: unknown */
   bool spot, known, drain; /* known: its key exists */
-  struct tmx_task *tasks; /* placed here */
+  struct tmx_task *tasks;  /* placed here */
   uint32_t n_tasks;
-  uint32_t changes; /* counts what on_machine was told */
-  int owner;        /* member index; -1: no view */
+  uint32_t changes;       /* counts what on_machine was told */
+  int owner;              /* member index; -1: no view */
   double cpus, gpus, mem; /* booked */
   uint32_t errors;        /* failures in a row, and of how many jobs at least */
   char error_job[TMX_ID_MAX];
@@ -156,7 +156,8 @@
   struct tmx_log_key *batches, *pages;
   struct tmx_log_key *gone; /* machines gone by proof, the latest ones: late copies of their reports
                                must not bring them back. Names are never used again */
-  uint64_t fold_stamp, fold_mark, fold_gen; /* batches up to this version are in the pages of this fold */
+  uint64_t fold_stamp, fold_mark,
+      fold_gen;      /* batches up to this version are in the pages of this fold */
   struct tmx_wrote { /* who committed a batch of late: a sign of life */
     char node[TMX_NAME_MAX];
     double at;
@@ -208,16 +209,16 @@
 void tmx_job_encode(struct tmx_buf *b, const char *id, const struct tmx_spec *s, double submitted,
                     int fin);
 bool tmx_task_parse(const char *s, char *job, size_t cap, uint32_t *index);
-/* Lines of a page, as the state stands: one machine; a run of tasks of a job from `from` on that are
- * alike (returns how many; 0 bytes printed if they were never placed). */
+/* Lines of a page, as the state stands: one machine; a run of tasks of a job from `from` on that
+ * are alike (returns how many; 0 bytes printed if they were never placed). */
 int tmx_machine_print(char *out, size_t cap, const struct tmx_replica *r,
                       const struct tmx_machine *m);
 uint32_t tmx_run_print(char *out, size_t cap, const struct tmx_job *j, uint32_t from, int *len);
 /* A batch's or a page's value: encoded jobs, and lines. */
 void tmx_lines_encode(struct tmx_buf *b, const struct tmx_buf *jobs, size_t n_jobs,
                       const struct tmx_buf *list, size_t n);
-/* How long a task of the job is expected to run, s: the owner's estimate, as far as it has held for the
- * class of late. */
+/* How long a task of the job is expected to run, s: the owner's estimate, as far as it has held for
+ * the class of late. */
 double tmx_expected_run(const struct tmx_replica *r, const struct tmx_spec *s);
 void tmx_learn_run(struct tmx_replica *r, const struct tmx_spec *s, double ran);
 /* The time at which a batch of this member was last seen; 0: never. */
--- a/src/user/user.c
+++ b/src/user/user.c
@@ -22,7 +22,7 @@
   char id[TMX_ID_MAX];
   int otherwise; /* status for an unknown job */
   int tries;
-  double until;
+  double since, until;
 };
 
 struct tmx_users *tmx_users_new(struct tmx_ctl *c) {
@@ -35,8 +35,8 @@
 
 static void refuse(struct tmx_req *q, const char *why) {
   if (tmx_log_on(TMX_DEBUG))
-    tmx_log(TMX_DEBUG, "user: %s refused for now: %s",
-            q->method == HTTP_POST ? "request" : "poll", why);
+    tmx_log(TMX_DEBUG, "user: %s refused for now: %s", q->method == HTTP_POST ? "request" : "poll",
+            why);
   tmx_req_reply(q, 503, NULL, tmx_retry_after());
 }
 
@@ -100,8 +100,8 @@
 static void ask(struct tmx_users *u, struct tmx_req *q, enum kind kind, const char *id,
                 int otherwise) {
   /* Where the state is out of reach nothing can be decided: the sender goes elsewhere at once. When
-   * more ask than can be answered, those go first of whose job nobody was told here of late, so that
-   * none stays without an answer however many others ask. */
+   * more ask than can be answered, those go first of whose job nobody was told here of late, so
+   * that none stays without an answer however many others ask. */
   const struct tmx_job *j = tmx_job_find(&u->c->rep, id);
   bool late = kind != ASK_POLL || (j && tmx_now() - j->answered_at > TMX_POLL_FAIR_S);
   struct ask *a = calloc(1, sizeof *a);
@@ -167,14 +167,16 @@
 static void on_submitted(void *arg, int res) {
   struct ask *a = arg;
   if (res == TMX_TXN_OK) {
-    if (tmx_log_on(TMX_DEBUG)) tmx_log(TMX_DEBUG, "job: %s accepted", a->id);
+    if (tmx_log_on(TMX_DEBUG))
+      tmx_log(TMX_DEBUG, "job: %s accepted in %.0f ms", a->id, (tmx_now() - a->since) * 1000);
     answer_named(a->req, 201, a->id, WV_PENDING, NULL);
     done(a);
   } else if (res == TMX_TXN_CONFLICT && /* known already: its state is read first */
              tmx_link_confirm(a->u->c->link, TMX_SUBMIT_WAIT_S, on_confirm, a)) {
     a->otherwise = 503;
   } else {
-    refuse(a->req, res == TMX_TXN_REFUSED ? "not committed in time" : "not known whether committed");
+    refuse(a->req,
+           res == TMX_TXN_REFUSED ? "not committed in time" : "not known whether committed");
     done(a);
   }
 }
@@ -241,6 +243,7 @@
   a->u = u;
   a->req = q;
   a->kind = ASK_SUBMIT;
+  a->since = tmx_now();
   snprintf(a->id, sizeof a->id, "%s", id);
   u->waiting++;
   if (u->waiting > TMX_USER_QUEUE ||
--- a/src/worker/health.c
+++ b/src/worker/health.c
@@ -47,8 +47,7 @@
   tmx_w_ku64(&b, W_SESSION, r->session);
   tmx_w_str(&b, W_COMMANDS);
   tmx_w_list(&b, 0);
-  r->in_flight =
-      tmx_client_call(r->client, "POST", WP_COMMANDS, &b, TMX_PROBE_S, on_introduced, r);
+  r->in_flight = tmx_client_call(r->client, "POST", WP_COMMANDS, &b, TMX_PROBE_S, on_introduced, r);
   tmx_buf_free(&b);
   return r->in_flight;
 }
@@ -129,7 +128,8 @@
       reach.owned++;
       reach.reached += now - r->reached_at < 3;
     }
-    if (r->probes_lost || now - fmax(r->reached_at, r->probe_at) < (member ? period : 1.0)) continue;
+    if (r->probes_lost || now - fmax(r->reached_at, r->probe_at) < (member ? period : 1.0))
+      continue;
     probe(w, r, r->m->addr, now);
   }
   w->probe_from = r;
@@ -137,7 +137,9 @@
   close_some(w);
 }
 
-struct tmx_reach tmx_workers_reach(const struct tmx_workers *w) { return w->reach; }
+struct tmx_reach tmx_workers_reach(const struct tmx_workers *w) {
+  return w->reach;
+}
 
 /* ------------------------------------------------------------ told to and by the others */
 
--- a/src/worker/worker.c
+++ b/src/worker/worker.c
@@ -193,8 +193,7 @@
       t->seen_at = (float)tmx_now();
       if (tmx_log_on(TMX_DEBUG))
         tmx_log(TMX_DEBUG, "task: %s/%u %u runs on %s, image %s, placed %.2f s ago", t->job->id,
-                tmx_task_index(t), t->attempt, r->id, t->job->spec.image,
-                tmx_now() - t->placed_at);
+                tmx_task_index(t), t->attempt, r->id, t->job->spec.image, tmx_now() - t->placed_at);
     }
     if (!(listed && t->report_state == LD_EXITED) && !leaving) continue;
     r->may_end = true;
--- a/src/worker/worker.h
+++ b/src/worker/worker.h
@@ -31,7 +31,7 @@
   bool owned;
   uint64_t term; /* of the view that `owned` was last compared with */
   uint32_t bump;
-  uint64_t fence;         /* absence proves nothing while seen < fence ... */
+  uint64_t fence; /* absence proves nothing while seen < fence ... */
   double fence_at;
   uint64_t fence_session; /* ... and the session is not a later one than this */
   bool starts_out;        /* a response with starts was sent; the next report tells */
--- a/tests/fake.h
+++ b/tests/fake.h
@@ -95,7 +95,7 @@
 void fake_put(const char *key, const struct tmx_buf *value); /* as another client would */
 const struct fake_entry *fake_get(const char *key);
 bool fake_logged(const char *line); /* a batch that stands holds it */
-unsigned fake_placed(void); /* place lines in the log that have no end */
+unsigned fake_placed(void);         /* place lines in the log that have no end */
 
 void worker_open(struct fake_worker *w, const char *id);
 void worker_report(struct fake_worker *w,
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -25,8 +25,8 @@
   assert_non_null(p);
   p->n_machines = machines;
   p->n_jobs = jobs;
-  p->in = (struct tmx_round){.n_zones = zones, .leading = true, .max_ops = 400, .n_teams = 1,
-                             .now = 100, .wall = 100};
+  p->in = (struct tmx_round){
+      .n_zones = zones, .leading = true, .max_ops = 400, .n_teams = 1, .now = 100, .wall = 100};
   for (size_t i = 0; i < machines; i++) {
     struct tmx_plan_machine *m = &p->machines[i];
     m->slot = (int)i;
@@ -66,8 +66,7 @@
 
 static void runs(struct paper *p, size_t m, size_t k, uint32_t task, double since, bool stopping) {
   struct tmx_plan_machine *x = &p->machines[m];
-  x->tasks[x->n_tasks++] =
-      (struct tmx_plan_task){(int)k, task, 1, since, stopping};
+  x->tasks[x->n_tasks++] = (struct tmx_plan_task){(int)k, task, 1, since, stopping};
 }
 
 /* Feeds the paper to a planner and plans a round; the paper stays as it is. */
@@ -206,8 +205,7 @@
   job(in, 1, false, 4, 4);
   in->jobs[1].n_waits = 0;
   in->machines[0].ucpus = 16;
-  for (uint32_t i = 0; i < 4; i++)
-    runs(in, 0, 1, i, 90.0 - i, false);
+  for (uint32_t i = 0; i < 4; i++) runs(in, 0, 1, i, 90.0 - i, false);
   plan(in, &out);
   assert_int_equal(out.n_ops, 1);
   assert_int_equal(out.ops[0].op, TMX_OP_STOP);
--- a/tests/test_rules.c
+++ b/tests/test_rules.c
@@ -74,6 +74,16 @@
   }
   assert_true(pump(registered, c));
 }
+static void up_at_either(void) { /* whichever of the two owns it */
+  for (int i = 0; i < 10 && !registered(a); i++) {
+    worker_report(&w, a);
+    if (w.status != 200) worker_report(&w, b);
+    assert_int_equal(w.status, 200);
+    pump_for(0.1);
+  }
+  assert_true(pump(registered, a));
+  assert_true(pump(registered, b));
+}
 static bool final_state(void *arg) {
   struct tmx_job *j = tmx_job_find(&a->rep, arg);
   return j && j->fin;
@@ -247,14 +257,7 @@
   (void)st;
   struct tmx_buf v = {0};
   char id[32];
-  for (int i = 0; i < 10 && !registered(a); i++) {
-    worker_report(&w, a);
-    if (w.status != 200) worker_report(&w, b);
-    assert_int_equal(w.status, 200);
-    pump_for(0.1);
-  }
-  assert_true(pump(registered, a));
-  assert_true(pump(registered, b));
+  up_at_either();
   struct tmx_ctl *old = tmx_link_leading(a->link) ? a : b, *other = old == a ? b : a;
   assert_true(tmx_link_leading(old->link));
   state.doors[old == a ? 0 : 1].freeze_watch = true;
@@ -318,14 +321,7 @@
 /* Two controllers on copies of different age: what they place together stays in the limit. */
 static void quota_from_two_controllers(void **st) {
   (void)st;
-  for (int i = 0; i < 10 && !registered(a); i++) {
-    worker_report(&w, a);
-    if (w.status != 200) worker_report(&w, b);
-    assert_int_equal(w.status, 200);
-    pump_for(0.1);
-  }
-  assert_true(pump(registered, a));
-  assert_true(pump(registered, b));
+  up_at_either();
   state.doors[1].freeze_watch = true; /* b lags from here on */
   char id[32];
   for (int i = 0; i < 12; i++) {
@@ -467,8 +463,8 @@
   assert_false(registered(a));
 }
 
-/* A machine whose reports arrive while commands and answers do not reach it gets no new work, and is
- * replaced; its task moves only with the proof that it is gone. */
+/* A machine whose reports arrive while commands and answers do not reach it gets no new work, and
+ * is replaced; its task moves only with the proof that it is gone. */
 static void heard_and_not_reached(void **st) {
   (void)st;
   up(a);
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -152,8 +152,8 @@
   put(TMX_K_FOLD, stamp, &b);
 }
 
-/* Log keys are written over after a fold, in any order: what is left of the old batches is no longer
- * the whole story, and must not bring a machine back whose end was written over. */
+/* Log keys are written over after a fold, in any order: what is left of the old batches is no
+ * longer the whole story, and must not bring a machine back whose end was written over. */
 static void batches_before_the_mark_do_not_count(void **st) {
   (void)st;
   rep.load_until = 30;
