--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -69,11 +69,12 @@
 #define TMX_MOVES_SHARE 0.002 /* ... or this share of all replicas */
 #define TMX_ROUND_IDLE_S 2.0  /* the paper's draft period: a round without an event */
 #define TMX_ENDS_DELAY_S 0.25 /* completions wait this long to share a batch */
-#define TMX_LEADER_GRACE_S 0.2 /* a job's own controller goes first this long, and one full turn \
-                                */
-#define TMX_WRITE_SHARE 0.8    /* of the write rate for batches; some is left for lost races */
-#define TMX_SUBMIT_SHARE 0.08  /* ... for submissions that go out singly ... */
-#define TMX_SUBMIT_BURST 3.0   /* ... so many at once */
+#define TMX_LEADER_GRACE_S                                                                      \
+  0.2                         /* a job's own controller goes first this long, and one full turn \
+                               */
+#define TMX_WRITE_SHARE 0.8   /* of the write rate for batches; some is left for lost races */
+#define TMX_SUBMIT_SHARE 0.08 /* ... for submissions that go out singly ... */
+#define TMX_SUBMIT_BURST 3.0  /* ... so many at once */
 #define TMX_PATIENCE_S                                                                   \
   10.0                      /* a start without an aim: fetching this long is like a full \
                                machine */
@@ -148,14 +149,17 @@
 #define TMX_ROOM_TO_MOVE 2.0    /* times a machine's replicas must be free in its zone first */
 #define TMX_ROOM_AFTER 0.2      /* ... and this share of the zone's part of the peak */
 #define TMX_DRAIN_SPACING_S 3.0 /* between two choices of machines to be returned ... */
-#define TMX_DRAIN_SHARE 0.03  /* ... and the share of all CPUs in one choice; one machine at least \
+#define TMX_DRAIN_SHARE                                                                            \
+  0.03                        /* ... and the share of all CPUs in one choice; one machine at least \
                                */
 #define TMX_CLEAR_S 10.0      /* a backlog that is cleared in this time needs no new machines ... */
 #define TMX_CLEAR_DEAR_S 40.0 /* ... and no ordinary ones in this, if spot ones would do */
-#define TMX_DRAIN_HELD 0.08   /* of all CPUs on machines that wait for replicas to leave them */
-#define TMX_HIRE_MAX 50       /* machines; PROTOCOL's limit of one request */
-#define TMX_HIRES_ROUND 1024  /* machines rented in one weighing */
-#define TMX_DELETE_MAX 100    /* machines; PROTOCOL's limit of one request */
+#define TMX_WAITING_SHARE \
+  0.02                       /* of the CPUs rented: less that waits is no reason to keep machines */
+#define TMX_DRAIN_HELD 0.08  /* of all CPUs on machines that wait for replicas to leave them */
+#define TMX_HIRE_MAX 50      /* machines; PROTOCOL's limit of one request */
+#define TMX_HIRES_ROUND 1024 /* machines rented in one weighing */
+#define TMX_DELETE_MAX 100   /* machines; PROTOCOL's limit of one request */
 #define TMX_UNREACHED_LEASES \
   0.5                          /* of a lease: a machine that is heard and not reached is replaced */
 #define TMX_NEVER_HEARD_S 25.0 /* listed as running and silent for this long, and two reports */
--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -610,12 +610,10 @@
   size_t max = TMX_DELETE_MAX;
   double silent = c->set.op.silent_s > 0 ? c->set.op.silent_s : TMX_SILENT_S;
   bool settled = now - k->led_since > TMX_SETTLE_S;
-  bool waiting = false;
   struct tmx_job *j, *jt;
   double asked = 0;
   HASH_ITER(hh, r->jobs, j, jt) {
     if (j->fin || j->spec.tasks <= j->n_done + j->n_placed) continue;
-    waiting = true;
     asked += (j->spec.tasks - j->n_done - j->n_placed) * j->spec.cpus;
   }
   struct tmx_machine *m, *mt;
@@ -641,6 +639,8 @@
     for (struct tmx_task *x2 = m->tasks; x2; x2 = x2->next)
       if (x2->job->spec.service) services += x2->job->spec.cpus;
   }
+  /* among thousands of tasks some always wait for a moment */
+  bool waiting = asked > TMX_WAITING_SHARE * (room + booked);
   /* Most of a zone silent at once is a cut between it and us, or our own trouble, and its work may
    * go on: nothing of it is given up before its leases must have lapsed. */
   for (size_t z = 0; z < c->set.n_zones; z++)
--- a/src/controller.c
+++ b/src/controller.c
@@ -11,6 +11,7 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "core/outlook.h"
 #include "net/log.h"
 #include "tmx/wire.h"
 
@@ -116,19 +117,14 @@
   free(e);
 }
 
-/* How the other registered controllers look from here. */
-struct outlook {
-  size_t others, heard, mine, mine_heard, far, far_heard; /* mine, far: of this zone, of others */
-};
-
-static struct outlook look_around(const struct tmx_ctl *c) {
-  struct outlook o = {0};
+static struct tmx_outlook look_around(const struct tmx_ctl *c) {
+  struct tmx_outlook o = {0};
   int zone = tmx_zone_index(&c->set, c->set.zone);
   for (size_t i = 0; i < c->rep.n_nodes; i++) {
     const char *n = c->rep.nodes[i].name;
     if (!strcmp(n, c->set.node)) continue;
-    bool heard = tmx_peers_silence(c->peers, n) < TMX_BEAT_LOST_S,
-         near = tmx_node_zone(&c->set, n) == zone;
+    bool heard = tmx_peers_silence(c->peers, n) < TMX_BEAT_LOST_S;
+    bool near = tmx_node_zone(&c->set, n) == zone;
     o.others++;
     o.heard += heard;
     o.mine += near;
@@ -139,24 +135,15 @@
   return o;
 }
 
-/* All of another zone is silent and this one is whole: the zones cannot reach each other, and each
- * must drive its own machines. */
-static bool split(const struct outlook *o) {
-  return o->far >= 2 && !o->far_heard && o->mine >= 1 && o->mine_heard == o->mine;
-}
-
-/* Should this member be left out. Being wrong is safe, as terms order the tokens, but leaving out
- * healthy ones puts their work on the rest: a refused connection alone is no proof of death, and
- * silence may be this controller's own trouble. */
-static bool leave_out(const struct tmx_ctl *c, const char *name, const struct outlook *o) {
-  double now = tmx_now(), wrote = tmx_replica_wrote(&c->rep, name);
-  if (!strcmp(name, c->set.node)) return false;
-  if (tmx_peers_refused(c->peers, name)) return now - wrote > TMX_WROTE_ALIVE_S;
-  if (tmx_peers_cut(c->peers, name)) return true;
-  if (split(o)) return false;
-  return o->others >= 2 && o->heard * 2 >= o->others &&
-         tmx_peers_silence(c->peers, name) > TMX_SILENT_PEER_S &&
-         now - c->led_at > TMX_SILENT_PEER_S;
+static bool seems_lost(const struct tmx_ctl *c, const char *name, const struct tmx_outlook *o,
+                       double since) {
+  double now = tmx_now();
+  struct tmx_sign s = {.refused = tmx_peers_refused(c->peers, name),
+                       .cut = tmx_peers_cut(c->peers, name),
+                       .silence = tmx_peers_silence(c->peers, name),
+                       .wrote = now - tmx_replica_wrote(&c->rep, name),
+                       .watched = now - since};
+  return strcmp(name, c->set.node) && tmx_seems_lost(o, &s);
 }
 
 /* The leader keeps the members equal to the registered runs, without those that seem lost. */
@@ -169,12 +156,12 @@
   if (!tmx_link_inc(c->link) || !leads || c->view_busy || now - c->view_at < TMX_VIEW_SPACING_S)
     return;
   struct tmx_view v = {.term = r->view.term + 1};
-  struct outlook o = look_around(c);
+  struct tmx_outlook o = look_around(c);
   /* back to the hash only when both have been heard for a while */
-  if (split(&o)) c->split_at = now;
+  if (tmx_zones_apart(&o)) c->split_at = now;
   v.local = c->split_at && now - c->split_at < TMX_SPLIT_HOLD_S;
   for (size_t i = 0; i < r->n_nodes; i++)
-    if (!leave_out(c, r->nodes[i].name, &o)) v.members[v.n_members++] = r->nodes[i];
+    if (!seems_lost(c, r->nodes[i].name, &o, c->led_at)) v.members[v.n_members++] = r->nodes[i];
   bool same = v.n_members == r->view.n_members && v.local == r->view.local;
   for (size_t i = 0; same && i < v.n_members; i++) {
     const struct tmx_member *m = tmx_member_find(r, v.members[i].name);
@@ -245,16 +232,9 @@
  * alone is silent, or says that it reaches no workers. */
 static bool leader_lost(const struct tmx_ctl *c) {
   const char *l = c->rep.leader;
-  double now = tmx_now();
   if (!c->rep.leader_stamp || !strcmp(l, c->set.node) || tmx_ctl_no_workers(c)) return false;
-  if (tmx_peers_refused(c->peers, l))
-    return now - tmx_replica_wrote(&c->rep, l) > TMX_WROTE_ALIVE_S;
-  if (tmx_peers_cut(c->peers, l)) return true;
-  struct outlook o = look_around(c);
-  if (split(&o)) return false;
-  return o.others >= 3 && o.heard * 2 >= o.others &&
-         tmx_peers_silence(c->peers, l) > TMX_SILENT_PEER_S &&
-         now - c->started_at > TMX_SILENT_PEER_S;
+  struct tmx_outlook o = look_around(c);
+  return seems_lost(c, l, &o, c->started_at);
 }
 
 static void on_tick(struct ev_loop *l, ev_timer *w, int ev) {
--- /dev/null
+++ b/src/core/outlook.h
@@ -0,0 +1,25 @@
+/* How the other controllers look from one of them, and what to make of it: pure. */
+#ifndef TMX_OUTLOOK_H
+#define TMX_OUTLOOK_H
+#include <stdbool.h>
+#include <stddef.h>
+
+struct tmx_outlook { /* registered controllers other than this one */
+  size_t others, heard;
+  size_t mine, mine_heard, far, far_heard; /* of this one's zone, and of other zones */
+};
+struct tmx_sign { /* of one of them */
+  bool refused;   /* its process refuses connections */
+  bool cut;       /* it says that it reaches hardly any of its workers */
+  double silence; /* s since its last heartbeat */
+  double wrote;   /* s since its last batch in the log */
+  double watched; /* s that this one has been in a position to hear it */
+};
+/* All of another zone is silent and this one is whole: the zones cannot reach each other, and each
+ * must drive its own machines. */
+bool tmx_zones_apart(const struct tmx_outlook *o);
+/* Should others do its work. Being wrong is safe, as terms order the tokens, but leaving out
+ * healthy ones puts their work on the rest: a refused connection alone is no proof of death, and
+ * silence may be this controller's own trouble. */
+bool tmx_seems_lost(const struct tmx_outlook *o, const struct tmx_sign *s);
+#endif
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "core/capacity.h"
+#include "core/outlook.h"
 #include "core/plan.h"
 #include "tmx/constants.h"
 
@@ -397,6 +398,30 @@
   gsl_rng_free(g);
 }
 
+/* Who is left out: not everybody because connections are refused, not the others because this one
+ * hears nobody, and nobody because the zones came apart. */
+static void who_seems_lost(void **st) {
+  (void)st;
+  struct tmx_outlook all = {
+      .others = 4, .heard = 3, .mine = 2, .mine_heard = 2, .far = 2, .far_heard = 1};
+  struct tmx_outlook none = {.others = 4, .mine = 2, .far = 2};
+  struct tmx_outlook apart = {.others = 4, .heard = 2, .mine = 2, .mine_heard = 2, .far = 2};
+  struct tmx_sign s = {.silence = 60, .wrote = 60, .watched = 60};
+  assert_true(tmx_seems_lost(&all, &s));
+  assert_false(tmx_seems_lost(&none, &s));
+  assert_false(tmx_zones_apart(&none));
+  assert_true(tmx_zones_apart(&apart));
+  assert_false(tmx_seems_lost(&apart, &s));
+  s.watched = 1; /* a new leader hears first */
+  assert_false(tmx_seems_lost(&all, &s));
+  s.refused = true;
+  assert_true(tmx_seems_lost(&none, &s));
+  s.wrote = 0.5; /* it refuses, and its batches come */
+  assert_false(tmx_seems_lost(&none, &s));
+  struct tmx_sign cut = {.cut = true, .silence = 0.1, .wrote = 0.1};
+  assert_true(tmx_seems_lost(&all, &cut));
+}
+
 static void rents_for_what_waits(void **st) {
   (void)st;
   struct tmx_type small = {.name = "small", .cpus = 4, .mem = 16, .price = 0.2, .boot_s = 30};
@@ -430,6 +455,7 @@
       cmocka_unit_test(freed_room_is_left_to_the_service),
       cmocka_unit_test(the_oldest_begin),
       cmocka_unit_test(fed_in_steps_as_afresh),
+      cmocka_unit_test(who_seems_lost),
       cmocka_unit_test(rents_for_what_waits),
   };
   return cmocka_run_group_tests(t, NULL, NULL);
--- a/tests/test_rules.c
+++ b/tests/test_rules.c
@@ -544,6 +544,46 @@
   assert_int_equal(submit(a, "wk-000002", "batch", 1, 2, "t"), 201);
 }
 
+struct count {
+  unsigned refused, answered;
+};
+static void counted(void *arg, int status, const uint8_t *body, size_t len) {
+  struct count *n = arg;
+  (void)body;
+  (void)len;
+  n->answered += status == 200;
+  n->refused += status == 503;
+}
+/* When more polls come than can be answered, a job of which nobody was told for long goes before
+ * one that was just answered for: none stays without an answer, however many ask for others. */
+static void polls_under_overload(void **st) {
+  (void)st;
+  struct count often = {0, 0}, late = {0, 0}, more = {0, 0};
+  assert_int_equal(submit(a, "wk-000001", "batch", 1, 2, "t"), 201);
+  assert_int_equal(submit(a, "wk-000002", "batch", 1, 2, "t"), 201);
+  assert_int_equal(poll_job(a, "wk-000001").status, 200);
+  char addr[32];
+  snprintf(addr, sizeof addr, "127.0.0.1:%d", tmx_server_port(a->server));
+  struct tmx_client *cl = tmx_client_new(loop, addr, 300);
+  assert_non_null(cl);
+  state.doors[0].freeze_watch = true;
+  assert_int_equal(submit(a, "wk-000003", "batch", 1, 2, "t"), 201); /* the copy is behind now */
+  for (int i = 0; i < TMX_USER_QUEUE / 2; i++)
+    assert_true(tmx_client_call(cl, "GET", WP_JOBS "/wk-000001", NULL, 5, counted, &often));
+  pump_for(0.3);
+  assert_int_equal(often.refused, 0);
+  assert_true(tmx_client_call(cl, "GET", WP_JOBS "/wk-000001", NULL, 5, counted, &more));
+  assert_true(tmx_client_call(cl, "GET", WP_JOBS "/wk-000002", NULL, 5, counted, &late));
+  pump_for(0.3);
+  assert_int_equal(more.refused, 1);
+  assert_int_equal(late.refused, 0);
+  state.doors[0].freeze_watch = false;
+  fake_free_watches();
+  for (int i = 0; i < 100 && !late.answered; i++) pump_for(0.02);
+  assert_int_equal(late.answered, 1);
+  tmx_client_free(cl);
+}
+
 static bool folded(void *arg) {
   (void)arg;
   struct tmx_log_key *k, *t;
@@ -670,6 +710,7 @@
       cmocka_unit_test_setup_teardown(last_ends_with_few_puts, setup, teardown),
       cmocka_unit_test_setup_teardown(one_name_at_two_controllers, setup_two, teardown),
       cmocka_unit_test_setup_teardown(refused_at_once_without_state, setup, teardown),
+      cmocka_unit_test_setup_teardown(polls_under_overload, setup, teardown),
       cmocka_unit_test_setup_teardown(folding, setup, teardown),
       cmocka_unit_test_setup_teardown(answers_to_submissions, setup, teardown),
       cmocka_unit_test_setup_teardown(hostile_connections, setup, teardown),
