--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -66,7 +66,7 @@
                                  room with others as old: the largest begin within four minutes */
 #define TMX_LANE_SHARE 0.1    /* of the tasks placed: that share for the oldest jobs */
 #define TMX_MOVES_LEAST 2     /* replicas down at a time because machines are returned ... */
-#define TMX_MOVES_SHARE 0.002 /* ... or this share of all replicas */
+#define TMX_MOVES_SHARE 0.006 /* ... or this share of all replicas */
 #define TMX_ROUND_IDLE_S 2.0  /* the paper's draft period: a round without an event */
 #define TMX_ENDS_DELAY_S 0.25 /* completions wait this long to share a batch */
 #define TMX_LEADER_GRACE_S                                                                      \
@@ -156,7 +156,7 @@
 #define TMX_CLEAR_DEAR_S 40.0 /* ... and no ordinary ones in this, if spot ones would do */
 #define TMX_WAITING_SHARE \
   0.02                       /* of the CPUs rented: less that waits is no reason to keep machines */
-#define TMX_DRAIN_HELD 0.08  /* of all CPUs on machines that wait for replicas to leave them */
+#define TMX_DRAIN_HELD 0.15  /* of all CPUs on machines that wait for replicas to leave them */
 #define TMX_HIRE_MAX 50      /* machines; PROTOCOL's limit of one request */
 #define TMX_HIRES_ROUND 1024 /* machines rented in one weighing */
 #define TMX_DELETE_MAX 100   /* machines; PROTOCOL's limit of one request */
