--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -152,8 +152,7 @@
 #define TMX_DRAIN_SHARE                                                                            \
   0.03                        /* ... and the share of all CPUs in one choice; one machine at least \
                                */
-#define TMX_CLEAR_S 10.0      /* a backlog that is cleared in this time needs no new machines ... */
-#define TMX_CLEAR_DEAR_S 40.0 /* ... and no ordinary ones in this, if spot ones would do */
+#define TMX_CLEAR_S 10.0              /* a backlog that is cleared in this time needs no new machines */
 #define TMX_WAITING_SHARE \
   0.02                       /* of the CPUs rented: less that waits is no reason to keep machines */
 #define TMX_DRAIN_HELD 0.15  /* of all CPUs on machines that wait for replicas to leave them */
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -22,7 +22,7 @@
 struct tmx_operator {
   double idle_return_s; /* an empty machine is returned after this, s */
   double headroom;      /* share of the services' room kept free */
-  double silent_s;      /* a machine without reports is replaced after this, s; 0: derived */
+  double silent_s;      /* a machine that answers no probe goes after this, s; 0: the default */
 };
 struct tmx_settings {
   char node[TMX_NAME_MAX], zone[TMX_NAME_MAX], listen[TMX_NAME_MAX], peer_listen[TMX_NAME_MAX];
--- a/src/core/capacity.c
+++ b/src/core/capacity.c
@@ -59,11 +59,6 @@
       double best_v = 0;
       for (size_t k = 0; k < n_o; k++) {
         if (!suits(s, o[k].type, o[k].zone, o[k].spot, &d[i])) continue;
-        /* arrays that may run on spot machines get dear ones only for a backlog that lasts:
-         * replicas settle on those, and they are slow to be returned */
-        if (!s->service && have > 0 &&
-            backlog / have < (s->spot && !o[k].spot ? TMX_CLEAR_DEAR_S : TMX_CLEAR_S))
-          continue;
         uint32_t in = fits(s, o[k].type->cpus, o[k].type->gpus, o[k].type->mem);
         if (!in) continue;
         /* price of a task's room, counting only the room that is wanted now by half */
@@ -82,7 +77,6 @@
           (struct bin){t->cpus - k * s->cpus, t->gpus - k * s->gpus, t->mem - k * s->mem, t,
                        o[best].zone,          o[best].spot};
       left -= k;
-      have += t->cpus;
       size_t h;
       for (h = 0; h < n_out; h++)
         if (out[h].offer == best) break;
