--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -149,10 +149,10 @@
 #define TMX_ROOM_TO_MOVE 2.0    /* times a machine's replicas must be free in its zone first */
 #define TMX_ROOM_AFTER 0.2      /* ... and this share of the zone's part of the peak */
 #define TMX_DRAIN_SPACING_S 3.0 /* between two choices of machines to be returned ... */
-#define TMX_DRAIN_SHARE                                                                            \
-  0.03                        /* ... and the share of all CPUs in one choice; one machine at least \
-                               */
-#define TMX_CLEAR_S 10.0              /* a backlog that is cleared in this time needs no new machines */
+#define TMX_DRAIN_SHARE                                                                       \
+  0.03                   /* ... and the share of all CPUs in one choice; one machine at least \
+                          */
+#define TMX_CLEAR_S 10.0 /* a backlog that is cleared in this time needs no new machines */
 #define TMX_WAITING_SHARE \
   0.02                       /* of the CPUs rented: less that waits is no reason to keep machines */
 #define TMX_DRAIN_HELD 0.15  /* of all CPUs on machines that wait for replicas to leave them */
