--- a/tests/test_rules.c
+++ b/tests/test_rules.c
@@ -625,6 +625,16 @@
   worker_report(&w, a);
   assert_true(pump(final_state, "wk-000001"));
   assert_string_equal(poll_job(a, "wk-000001").state, WV_DONE);
+  /* log keys are written over from here on: another start still finds the whole story */
+  struct tmx_log_key *k, *kt;
+  bool reused = false;
+  HASH_ITER(hh, a->rep.batches, k, kt)
+  reused |= k->stamp > a->rep.fold_mark && strstr(k->key, "/000000") != NULL;
+  assert_true(reused);
+  restart();
+  assert_true(registered(a));
+  assert_string_equal(poll_job(a, "wk-000001").state, WV_DONE);
+  assert_int_equal(tmx_job_find(&a->rep, "wk-000001")->n_placed, 0);
 }
 
 static void answers_to_submissions(void **st) {
