A cut zone is told from dead machines by signs of life; suspects share the probes in turn

The guard compared machines that lost two probes with all of the zone; with 330 new machines an owner and 127 probes a second, the first ones asked were lost while most had not been asked at all. Now owners tell, by zone, how many machines are lost and how many gave a sign of life in 1.2 s; suspects take 0.6 of the probes, in turn, ever less often. Nothing is rented in a cut zone.

--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -110,6 +110,10 @@
 #define TMX_ZONE_CUT_S 4.0       /* a zone counts as cut off for this long after the last sign */
 #define TMX_PROBES_LOST 3        /* in a row: the machine is given up */
 #define TMX_SILENT_S 1.5         /* ... if it gave no other sign for this long */
+#define TMX_ALIVE_S 1.2          /* a sign of life this young: shorter than it takes to lose a machine */
+#define TMX_SUSPECTS_SHARE 0.6   /* of the probes, for those in doubt: the others are asked on */
+#define TMX_PROBE_DOUBLINGS 3    /* a machine that stays lost is asked ever less often, up to here */
+#define TMX_BACK_LEASES 0.2      /* of a lease: so long may one that is heard again be unreached */
 #define TMX_REACH_LEAST 4        /* machines: fewer say nothing of a controller's own trouble */
 #define TMX_SWEEP_S 0.25         /* machines are looked through this often */
 #define TMX_SETTLE_S 3.0         /* a new leader first hears its peers and the workers */
--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -438,6 +438,7 @@
     for (size_t z = 0; z < c->set.n_zones; z++)
       for (int spot = 0; spot < 2; spot++) {
         if (!k->types[i].zones[z]) continue;
+        if (k->cut_until[z] > now) continue; /* what is rented there would not be heard */
         if (block_of(k, k->types[i].name, (int)z, spot)->until > now) continue;
         o[n_o++] = (struct tmx_offer){&k->types[i], (int)z, spot,
                                       spot ? k->types[i].spot_price : k->types[i].price};
@@ -617,22 +618,25 @@
     asked += (j->spec.tasks - j->n_done - j->n_placed) * j->spec.cpus;
   }
   struct tmx_machine *m, *mt;
-  size_t n_zone[TMX_ZONES_MAX] = {0}, n_lost[TMX_ZONES_MAX] = {0};
+  struct tmx_zone_signs signs[TMX_ZONES_MAX] = {{0}};
   double room = 0, services = 0, booked = 0;
   bool heard[TMX_MEMBERS_MAX];
   for (size_t i = 0; i < r->view.n_members; i++) {
     const char *n = r->view.members[i].name;
-    heard[i] = !strcmp(n, c->set.node) ? !tmx_ctl_no_workers(c)
-                                       : tmx_peers_silence(c->peers, n) < TMX_BEAT_DEAD_S &&
-                                             !tmx_peers_cut(c->peers, n);
+    bool self = !strcmp(n, c->set.node);
+    heard[i] = self ? !tmx_ctl_no_workers(c)
+                    : tmx_peers_silence(c->peers, n) < TMX_BEAT_DEAD_S &&
+                          !tmx_peers_cut(c->peers, n);
+    const struct tmx_zone_signs *said =
+        self ? tmx_workers_zones(c->workers) : tmx_peers_zones(c->peers, n);
+    for (size_t z = 0; heard[i] && said && z < c->set.n_zones; z++) {
+      signs[z].machines += said[z].machines;
+      signs[z].lost += said[z].lost;
+      signs[z].alive += said[z].alive;
+    }
   }
   HASH_ITER(hh, r->machines, m, mt) {
     if (!m->known) continue;
-    struct tmx_suspect x;
-    if (m->zone >= 0 && m->owner >= 0 && heard[m->owner]) {
-      n_zone[m->zone]++;
-      n_lost[m->zone] += tmx_workers_suspect(c->workers, m, &x) && x.lost >= 2;
-    }
     const struct tmx_type *t = tmx_cloud_type(k, m->type);
     if (t && !m->drain) room += t->cpus - m->cpus;
     booked += m->cpus;
@@ -641,12 +645,13 @@
   }
   /* among thousands of tasks some always wait for a moment */
   bool waiting = asked > TMX_WAITING_SHARE * (room + booked);
-  /* Most of a zone silent at once is a cut between it and us, or our own trouble, and its work may
-   * go on: nothing of it is given up before its leases must have lapsed. */
+  /* A zone that is silent as a whole is cut off from us, or we from it, and its work may go on.
+   * Machines that died show as failed in the list soon; the others come back with what they have,
+   * and what they hold could hardly run elsewhere. So nothing of it is given up for silence before
+   * all its work must be gone, and a lease more. */
   for (size_t z = 0; z < c->set.n_zones; z++)
-    if (n_lost[z] >= 3 ? n_lost[z] * 2 > n_zone[z] : n_lost[z] == 2 && n_zone[z] == 2)
-      k->cut_until[z] = now + TMX_ZONE_CUT_S;
-  bool lapsed = now - k->led_since > c->set.lease_s;
+    if (tmx_zone_seems_cut(&signs[z])) k->cut_until[z] = now + TMX_ZONE_CUT_S;
+  double given_up = c->set.cancel_s + c->set.lease_s;
   HASH_ITER(hh, r->machines, m, mt) {
     if (!m->known || d->n == max) continue;
     struct listed *l;
@@ -660,9 +665,10 @@
     if (l && l->state == LS_FAILED)
       why = "failed";
     else if (settled && lost && x.silence > silent &&
-             (m->zone < 0 || now > k->cut_until[m->zone] || (x.silence > c->set.lease_s && lapsed)))
+             (m->zone < 0 || now > k->cut_until[m->zone] || x.silence > given_up))
       why = "silent";
     else if (settled && doubt && now > k->cut_until[m->zone < 0 ? 0 : m->zone] &&
+             x.silence < c->set.report_s * 1.25 + TMX_REPORT_LATE_S &&
              x.unreached > c->set.lease_s * TMX_UNREACHED_LEASES)
       why = "heard, and not reached";
     else if (m->drain && !m->tasks)
--- a/src/controller.h
+++ b/src/controller.h
@@ -4,6 +4,7 @@
 #include <ev.h>
 
 #include "config/settings.h"
+#include "core/outlook.h"
 #include "core/plan.h"
 #include "net/http.h"
 #include "state/link.h"
@@ -107,6 +108,8 @@
   double report_age; /* s since any worker's report came here; 1e9: never */
 };
 struct tmx_reach tmx_workers_reach(const struct tmx_workers *w);
+/* Signs of life of the machines that this controller owns, by zone. */
+const struct tmx_zone_signs *tmx_workers_zones(const struct tmx_workers *w);
 /* What its owner says of a machine; false: nothing is wrong, or the owner is not heard. */
 bool tmx_workers_suspect(const struct tmx_workers *w, const struct tmx_machine *m,
                          struct tmx_suspect *out);
@@ -137,4 +140,6 @@
 bool tmx_peers_any(const struct tmx_peers *p);                         /* is any heard */
 double tmx_peers_state_age(const struct tmx_peers *p); /* s: the freshest state among those heard */
 bool tmx_peers_cut(const struct tmx_peers *p, const char *node); /* it says it reaches no workers */
+/* What it says of its machines by zone; NULL: it is not one of the peers. */
+const struct tmx_zone_signs *tmx_peers_zones(const struct tmx_peers *p, const char *node);
 #endif
--- a/src/core/outlook.c
+++ b/src/core/outlook.c
@@ -13,3 +13,8 @@
   return o->others >= 2 && o->heard * 2 >= o->others && s->silence > TMX_SILENT_PEER_S &&
          s->watched > TMX_SILENT_PEER_S;
 }
+
+bool tmx_zone_seems_cut(const struct tmx_zone_signs *z) {
+  if (z->lost >= 3) return z->lost > z->alive;
+  return z->lost && !z->alive && z->machines > 1;
+}
--- a/src/core/outlook.h
+++ b/src/core/outlook.h
@@ -22,4 +22,14 @@
  * healthy ones puts their work on the rest: a refused connection alone is no proof of death, and
  * silence may be this controller's own trouble. */
 bool tmx_seems_lost(const struct tmx_outlook *o, const struct tmx_sign *s);
+
+struct tmx_zone_signs { /* of one zone's machines, as their owners tell */
+  unsigned machines;
+  unsigned lost;  /* several probes in a row were lost */
+  unsigned alive; /* gave a sign of life within TMX_ALIVE_S */
+};
+/* Does the zone seem cut off, rather than its machines dead. Those that nobody asked of late say
+ * nothing: when a zone falls silent its machines are asked one after the other, and the first ones
+ * are lost while most have not been asked. So the lost are weighed against those that live. */
+bool tmx_zone_seems_cut(const struct tmx_zone_signs *z);
 #endif
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -34,6 +34,7 @@
   double beat_at;
   double state_age;
   bool no_workers;
+  struct tmx_zone_signs zones[TMX_ZONES_MAX];
 };
 struct incoming {
   struct tmx_peers *p;
@@ -74,6 +75,12 @@
   q->state_age = b->state_age_ms / 1000.0;
   if (b->revision > p->c->rep.rev) tmx_link_behind(p->c->link);
   q->no_workers = b->no_workers;
+  memset(q->zones, 0, sizeof q->zones);
+  for (u_int i = 0; i < b->zones.zones_len; i++) {
+    const tmx_beat_zone *z = &b->zones.zones_val[i];
+    int at = tmx_zone_index(&p->c->set, z->name);
+    if (at >= 0) q->zones[at] = (struct tmx_zone_signs){z->machines, z->lost, z->alive};
+  }
   for (u_int i = 0; i < b->suspects.suspects_len; i++) {
     const tmx_beat_suspect *d = &b->suspects.suspects_val[i];
     struct tmx_suspect x = {.silence = d->silence_ms / 1000.0,
@@ -230,11 +237,17 @@
   tmx_workers_suspects(c->workers, gather_one, &g);
   for (size_t i = 0; i < g.n; i++) g.v[i].id = g.ids[i];
   double age = tmx_now() - tmx_link_confirmed(c->link);
+  const struct tmx_zone_signs *signs = tmx_workers_zones(c->workers);
+  tmx_beat_zone zones[TMX_ZONES_MAX];
+  for (size_t i = 0; i < c->set.n_zones; i++)
+    zones[i] =
+        (tmx_beat_zone){c->set.zones[i], signs[i].machines, signs[i].lost, signs[i].alive};
   tmx_beat b = {.node = c->set.node,
                 .revision = c->rep.rev,
                 .state_age_ms = age > 1e6 ? UINT32_MAX : (u_int)(age * 1000),
                 .no_workers = tmx_ctl_no_workers(c),
-                .suspects = {.suspects_len = (u_int)g.n, .suspects_val = g.v}};
+                .suspects = {.suspects_len = (u_int)g.n, .suspects_val = g.v},
+                .zones = {.zones_len = (u_int)c->set.n_zones, .zones_val = zones}};
   u_int size = (u_int)xdr_sizeof((xdrproc_t)xdr_tmx_beat, &b);
   char *buf = malloc(size + 4);
   if (!buf) abort();
@@ -311,6 +324,12 @@
   return false;
 }
 
+const struct tmx_zone_signs *tmx_peers_zones(const struct tmx_peers *p, const char *node) {
+  for (size_t i = 0; i < p->n; i++)
+    if (!strcmp(p->peers[i].name, node)) return p->peers[i].zones;
+  return NULL;
+}
+
 struct tmx_peers *tmx_peers_new(struct tmx_ctl *c) {
   struct sockaddr_in a;
   int one = 1;
--- a/src/worker/health.c
+++ b/src/worker/health.c
@@ -78,6 +78,49 @@
   }
 }
 
+/* Is the machine in doubt, and due to be asked again. One that stays lost is asked ever less often:
+ * a whole zone of them must not use up what the others need. */
+static bool doubt_due(const struct worker *r, double now) {
+  if (!r->probes_lost && tmx_worker_hears(r)) return false;
+  int over = r->probes_lost - TMX_PROBES_LOST;
+  int doublings = over < 0 ? 0 : over > TMX_PROBE_DOUBLINGS ? TMX_PROBE_DOUBLINGS : over;
+  return now - r->probe_at >= TMX_PROBE_S * (1 << doublings);
+}
+
+/* Asks in turn, from where the last turn ended, while there are probes to spend. */
+static struct worker *ask_in_turn(struct tmx_workers *w, struct worker *from, bool member,
+                                  bool doubtful, double period, double keep, double now) {
+  size_t turns = HASH_COUNT(w->all);
+  struct worker *r = from ? from : w->all;
+  for (; r && turns-- && w->probe_tokens >= 1 + keep; r = r->hh.next ? r->hh.next : w->all) {
+    if (!r->m || !r->m->known || (member && !r->owned)) continue;
+    bool due = doubtful ? doubt_due(r, now)
+                        : !r->probes_lost && now - fmax(r->reached_at, r->probe_at) >= period;
+    if (due) probe(w, r, r->m->addr, now);
+  }
+  return r;
+}
+
+/* A controller that was left out asks a few, to learn when it reaches them again. */
+static void ask_a_few(struct tmx_workers *w, struct tmx_reach *reach, double now) {
+  struct worker *r, *t;
+  HASH_ITER(hh, w->all, r, t) {
+    if (!r->m || !r->m->known) continue;
+    if (reach->owned >= TMX_REACH_LEAST) return;
+    reach->owned++;
+    reach->reached += now - r->reached_at < 3;
+    if (now - fmax(r->reached_at, r->probe_at) >= 1) probe(w, r, r->m->addr, now);
+  }
+}
+
+static void count_sign(struct tmx_workers *w, const struct worker *r, double now) {
+  if (r->m->zone < 0) return;
+  struct tmx_zone_signs *z = &w->zones[r->m->zone];
+  z->machines++;
+  z->lost += r->probes_lost >= TMX_PROBES_LOST - 1;
+  z->alive += now - fmax(r->heard_at, r->reached_at) < TMX_ALIVE_S;
+}
+
 void tmx_workers_tick(struct tmx_workers *w) {
   struct tmx_ctl *c = w->c;
   double now = tmx_now(), rate = probe_rate(c);
@@ -89,7 +132,7 @@
   double heard_s = c->set.report_s * 1.25 + TMX_REPORT_LATE_S;
   struct tmx_reach reach = {.report_age = w->report_at ? now - w->report_at : 1e9};
   struct tmx_machine *m, *t;
-  /* first those in doubt, and what the planner is told */
+  memset(w->zones, 0, sizeof w->zones);
   HASH_ITER(hh, c->rep.machines, m, t) {
     if (!m->known) continue;
     bool mine = member && m->owner == self && self >= 0, usable;
@@ -100,10 +143,9 @@
     }
     if (mine) {
       tmx_worker_own(w, r);
+      count_sign(w, r, now);
       reach.owned++;
       reach.reached += now - fmax(r->reached_at, r->owned_at) < 3 * fmax(1, reach.owned / rate) + 2;
-      if ((r->probes_lost || !tmx_worker_hears(r)) && now - r->probe_at >= TMX_PROBE_S)
-        probe(w, r, m->addr, now);
       usable = r->session && tmx_worker_hears(r) && !r->probes_lost && !r->notice &&
                sign_age(r, now) < heard_s;
     } else {
@@ -116,27 +158,20 @@
       if (usable) tmx_rounds_kick(c);
     }
   }
-  /* then in turn, as far as the budget goes */
-  size_t n = HASH_COUNT(w->all), turns = n;
-  double period = fmax(TMX_PROBE_AFTER_S, reach.owned / rate);
-  struct worker *r = w->probe_from ? w->probe_from : w->all;
-  for (; r && turns-- && w->probe_tokens >= 1; r = r->hh.next ? r->hh.next : w->all) {
-    if (!r->m || !r->m->known) continue;
-    /* a controller that was left out asks a few, to learn when it reaches them again */
-    if (member ? !r->owned : reach.owned >= TMX_REACH_LEAST) continue;
-    if (!member) {
-      reach.owned++;
-      reach.reached += now - r->reached_at < 3;
-    }
-    if (r->probes_lost || now - fmax(r->reached_at, r->probe_at) < (member ? period : 1.0))
-      continue;
-    probe(w, r, r->m->addr, now);
+  if (member) {
+    double keep = w->probe_tokens * (1 - TMX_SUSPECTS_SHARE);
+    double period = fmax(TMX_PROBE_AFTER_S, reach.owned / rate);
+    w->doubt_from = ask_in_turn(w, w->doubt_from, true, true, period, keep, now);
+    w->probe_from = ask_in_turn(w, w->probe_from, true, false, period, 0, now);
+  } else {
+    ask_a_few(w, &reach, now);
   }
-  w->probe_from = r;
   w->reach = reach;
   close_some(w);
 }
 
+const struct tmx_zone_signs *tmx_workers_zones(const struct tmx_workers *w) { return w->zones; }
+
 struct tmx_reach tmx_workers_reach(const struct tmx_workers *w) {
   return w->reach;
 }
@@ -144,10 +179,13 @@
 /* ------------------------------------------------------------ told to and by the others */
 
 static bool suspect(const struct worker *r, double now, double heard_s, struct tmx_suspect *s) {
+  double back = now - r->back_at;
   s->silence = sign_age(r, now);
   s->lost = r->probes_lost;
   s->unreached = tmx_worker_hears(r) ? 0 : now - fmax(r->owned_at, r->fence_at);
   if (r->probes_lost) s->unreached = fmax(s->unreached, now - fmax(r->reached_at, r->owned_at));
+  /* one that was cut off and is heard again has not had the time yet to show that it hears us */
+  if (back < r->w->c->set.lease_s * TMX_BACK_LEASES) s->unreached = fmin(s->unreached, back + 0.001);
   s->notice = r->notice;
   memcpy(s->id, r->id, sizeof s->id);
   return s->lost || s->unreached > 0 || s->notice || s->silence > heard_s;
--- a/src/worker/worker.c
+++ b/src/worker/worker.c
@@ -54,6 +54,7 @@
 
 static void worker_free(struct tmx_workers *w, struct worker *r) {
   if (w->probe_from == r) w->probe_from = r->hh.next;
+  if (w->doubt_from == r) w->doubt_from = r->hh.next;
   HASH_DEL(w->all, r);
   if (r->held) answer_move(release_held(r), NULL);
   if (r->client) {
@@ -238,6 +239,8 @@
   *out = r;
   *fresh = true;
   double now = tmx_now();
+  if (now - fmax(r->heard_at, r->reached_at) > w->c->set.report_s * 1.25 + TMX_REPORT_LATE_S)
+    r->back_at = now;
   r->session = session;
   r->seq = seq;
   r->facts = f;
--- a/src/worker/worker.h
+++ b/src/worker/worker.h
@@ -20,6 +20,7 @@
   uint64_t session, seq, seen; /* seen: the highest token the worker has seen */
   double heard_at;             /* last new report that came here; 0: never */
   double reached_at;           /* last proof that it hears us: an answer, or a token of ours */
+  double back_at; /* it gave a sign after it had been silent */
   double bounced_at;
   struct tmx_req *held; /* a report that waits, for a moment, until this controller is the owner */
   double held_at;
@@ -58,8 +59,9 @@
   int n_held, n_clients;
   uint32_t reports;
   double report_at, sweep_at, probe_tokens;
-  struct worker *probe_from; /* where the next turn of probes begins */
+  struct worker *probe_from, *doubt_from; /* where the next turns of probes begin */
   struct tmx_reach reach;
+  struct tmx_zone_signs zones[TMX_ZONES_MAX];
 };
 
 struct worker *tmx_worker_make(struct tmx_workers *w, const char *id);
