Leases are kept by any fresh member while the state is out of reach; freshness margin 1 s

A fresh member now answers for the owner: the worker's own token, no orders except stops of jobs that are over. The lease counts from when the report was sent, so the margin needs only the drift of clocks.

--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -44,7 +44,9 @@
 #define TMX_WATCH_LAG_S 0.7     /* behind a revision read this long: open the watch anew */
 #define TMX_STATE_RETRY_S 0.3   /* after an error of the state service */
 #define TMX_TXN_BYTES 49152     /* bytes; PROTOCOL allows 64 KiB, counted as JSON */
-#define TMX_FRESH_MARGIN_S 3.0  /* taken off cancel_s - lease_s: drift, delays, halts */
+#define TMX_FRESH_MARGIN_S                                                                   \
+  1.0 /* taken off cancel_s - lease_s: a lease counts from when the report was sent, which is \
+         before it is answered, so only clocks that drift by 0.05% are left to allow for */
 #define TMX_FOLD_KEYS                                                                          \
   1500                     /* batch keys since the last fold: about 1 MB, read within a second \
                               when a controller starts */
--- a/src/worker/worker.c
+++ b/src/worker/worker.c
@@ -463,6 +463,40 @@
          s.lost >= TMX_PROBES_LOST;
 }
 
+/* While the state is out of reach no view can give the machine to anybody, and its owner does not
+ * hear it: any member that is fresh keeps its lease, so that its work is not killed. It gives no
+ * orders but one: a job that is over stays over, and its tasks must not outlast the time that a
+ * cancellation has. Where a newer owner has been at it, that one sees to it. */
+static bool keeps_for_owner(struct tmx_workers *w, const struct worker *r, const char *owner,
+                            double now) {
+  const struct tmx_ctl *c = w->c;
+  if (!tmx_link_member(c->link) || now - tmx_link_confirmed(c->link) < TMX_STATE_LOST_S)
+    return false;
+  if (r->seen > tmx_ctl_token(c, TMX_BUMP_MAX)) return false;
+  return tmx_peers_silence(c->peers, owner) > TMX_BEAT_LOST_S ||
+         (r->bounced_at && now - r->bounced_at >= TMX_TAKE_AFTER_S);
+}
+
+static void answer_for_owner(struct tmx_workers *w, struct worker *r, struct tmx_req *q) {
+  struct tmx_buf o = {0}, b = {0};
+  size_t n = 0;
+  for (size_t i = 0; i < r->n_loads && n < TMX_ORDERS_MAX; i++) {
+    const struct load *l = &r->loads[i];
+    const struct tmx_job *j = tmx_job_find(&w->c->rep, l->job);
+    if (l->state == LD_EXITED || !j || !j->fin) continue;
+    w_order(&o, WV_STOP, l->job, l->task, l->attempt, 0.0);
+    n++;
+  }
+  tmx_w_map(&b, 2);
+  tmx_w_ku64(&b, W_TOKEN, r->seen);
+  tmx_w_str(&b, W_COMMANDS);
+  tmx_w_list(&b, n);
+  tmx_buf_add(&b, o.p, o.n);
+  tmx_req_reply(q, 200, &b, 0);
+  tmx_buf_free(&o);
+  tmx_buf_free(&b);
+}
+
 void tmx_workers_report(struct tmx_workers *w, struct tmx_req *q) {
   struct tmx_ctl *c = w->c;
   cbor_item_t *m = tmx_cbor_parse(q->body, q->body_len);
@@ -492,6 +526,10 @@
   if (!tmx_worker_own(w, r)) {
     const char *owner = tmx_owner_of(&c->rep, r->id);
     if (owner && !strcmp(owner, c->set.node)) owner = NULL; /* this run is not in the view yet */
+    if (owner && latest && keeps_for_owner(w, r, owner, now)) {
+      answer_for_owner(w, r, q);
+      return;
+    }
     if (owner && latest && !r->held && tmx_link_member(c->link) &&
         cut_from_owner(w, r, owner, now)) {
       r->held = q;
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -422,6 +422,26 @@
   assert_true(tmx_seems_lost(&all, &cut));
 }
 
+/* A zone that falls silent is asked one machine after the other: the first ones are lost while most
+ * have not been asked, and none of them may be taken for dead. */
+static void a_cut_zone_is_told_from_dead_machines(void **st) {
+  (void)st;
+  struct tmx_zone_signs first = {.machines = 800, .lost = 1};
+  struct tmx_zone_signs some = {.machines = 800, .lost = 60, .alive = 12};
+  struct tmx_zone_signs dead = {.machines = 800, .lost = 90, .alive = 300};
+  struct tmx_zone_signs one = {.machines = 800, .lost = 1, .alive = 300};
+  struct tmx_zone_signs pair = {.machines = 2, .lost = 1, .alive = 1};
+  struct tmx_zone_signs alone = {.machines = 1, .lost = 1};
+  struct tmx_zone_signs well = {.machines = 800};
+  assert_true(tmx_zone_seems_cut(&first));
+  assert_true(tmx_zone_seems_cut(&some));
+  assert_false(tmx_zone_seems_cut(&dead));
+  assert_false(tmx_zone_seems_cut(&one));
+  assert_false(tmx_zone_seems_cut(&pair));
+  assert_false(tmx_zone_seems_cut(&alone));
+  assert_false(tmx_zone_seems_cut(&well));
+}
+
 static void rents_for_what_waits(void **st) {
   (void)st;
   struct tmx_type small = {.name = "small", .cpus = 4, .mem = 16, .price = 0.2, .boot_s = 30};
@@ -456,6 +476,7 @@
       cmocka_unit_test(the_oldest_begin),
       cmocka_unit_test(fed_in_steps_as_afresh),
       cmocka_unit_test(who_seems_lost),
+      cmocka_unit_test(a_cut_zone_is_told_from_dead_machines),
       cmocka_unit_test(rents_for_what_waits),
   };
   return cmocka_run_group_tests(t, NULL, NULL);
--- a/tests/test_rules.c
+++ b/tests/test_rules.c
@@ -374,6 +374,43 @@
   assert_int_equal(submit(a, "wk-000002", "batch", 1, 2, "t"), 503);
 }
 
+/* A zone is cut off from everything: its workers' owner is outside, and no view can be written. The
+ * controller inside keeps their leases as long as a cancellation elsewhere allows, starts nothing, and
+ * stops what it knows to be cancelled. */
+static void lease_kept_for_an_owner_out_of_reach(void **st) {
+  (void)st;
+  up_at_either();
+  submit(a, "wk-000001", "batch", 1, 2, "t");
+  assert_true(pump(running, NULL));
+  submit(a, "wk-000002", "batch", 1, 2, "t");
+  for (int i = 0; i < 100 && w.executed_starts < 2; i++) pump_for(0.02);
+  assert_string_equal(cancel_job(a, "wk-000002").state, WV_CANCELLED);
+  pump_for(0.3);
+  bool first = !strcmp(tmx_owner_of(&a->rep, w.id), a->set.node);
+  struct tmx_ctl *inside = first ? b : a;
+  assert_int_equal(tmx_job_find(&inside->rep, "wk-000002")->fin, TMX_FIN_CANCELLED);
+  state.doors[0].refuse = state.doors[1].refuse = true;
+  tmx_ctl_free(first ? a : b);
+  if (first)
+    a = NULL;
+  else
+    b = NULL;
+  pump_for(0.3);
+  worker_report(&w, inside);
+  assert_int_equal(w.status, 421); /* the owner may be back in a moment */
+  tmx_clock_shift(TMX_STATE_LOST_S);
+  worker_set(&w, "wk-000002/0", 1, WV_RUNNING, NULL); /* it has not heard of the cancellation */
+  uint64_t token = w.token;
+  worker_report(&w, inside);
+  assert_int_equal(w.status, 200);
+  assert_int_equal(w.answer_token, token);
+  assert_int_equal(w.n_orders, 1);
+  assert_true(worker_has(&w, WV_STOP, "wk-000002/0", 1));
+  tmx_clock_shift(inside->set.cancel_s - inside->set.lease_s - TMX_FRESH_MARGIN_S);
+  worker_report(&w, inside);
+  assert_int_equal(w.status, 503);
+}
+
 /* The answer to a commit is lost: nobody is told anything that is not known. */
 static void lost_answer_to_a_commit(void **st) {
   (void)st;
@@ -711,6 +748,7 @@
       cmocka_unit_test_setup_teardown(quota_from_two_controllers, setup_two, teardown),
       cmocka_unit_test_setup_teardown(polls_on_a_lagging_controller, setup_two, teardown),
       cmocka_unit_test_setup_teardown(withdrawal_during_a_cut, setup, teardown),
+      cmocka_unit_test_setup_teardown(lease_kept_for_an_owner_out_of_reach, setup_two, teardown),
       cmocka_unit_test_setup_teardown(lost_answer_to_a_commit, setup, teardown),
       cmocka_unit_test_setup_teardown(lost_answer_to_a_batch, setup, teardown),
       cmocka_unit_test_setup_teardown(cancelled_work_is_stopped, setup, teardown),
