The longest unused connection makes room; sockets are shared out by need; worker records are bounded

A controller with one incoming connection a worker and a user ran into its limit by connections that were left behind for 300 s; 0.7 + 0.3 of the sockets left none for state, cloud and peers. Test: idle_connections_make_room. Machines that were heard once and never registered no longer fill the table.

--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -14,8 +14,11 @@
 #define TMX_ZONES_MAX 16           /* zones; a counter a zone and job is kept */
 #define TMX_TYPES_MAX 32           /* machine types in the catalog; more are ignored */
 #define TMX_MEMBERS_MAX 16         /* controllers in one view */
-#define TMX_SERVER_CONNS_SHARE 0.7 /* of the sockets: the rest is for outgoing calls */
-#define TMX_IDLE_CLOSE_S 300.0     /* s; a silent incoming connection is given up */
+#define TMX_OWN_SOCKETS 120   /* state, cloud, peers at both ends, listening; at most half of all */
+#define TMX_WORKER_CONNS 0.23 /* of the other sockets: kept to workers; incoming ones have the rest */
+#define TMX_IDLE_CLOSE_S 60.0 /* s; an unused incoming connection is given up ... */
+#define TMX_IDLE_REPORTS 4.0  /* ... but not before a worker would have reported so often */
+#define TMX_IDLE_LEAST_S 1.0  /* s; when all are taken, one unused for so long makes room */
 #define TMX_PARTIAL_S 15.0         /* s; a request must arrive whole in this time */
 
 /* --- state service (s unless said) --- */
@@ -95,7 +98,6 @@
 #define TMX_WORKERS_MAX 8192       /* machines known at a time */
 #define TMX_GONE_KEPT 8192         /* names of machines that are gone, for late copies of reports */
 #define TMX_ORDERS_MAX 400         /* orders in one answer */
-#define TMX_WORKER_CONNS_SHARE 0.3 /* of the sockets: connections kept to workers */
 #define TMX_TAKE_AFTER_S                                                                          \
   3.5                            /* a worker that is back this long after being sent to its owner \
                                     cannot reach it (it waits 4 s for an answer): take it over */
--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -174,6 +174,12 @@
   o->silent_s = 0;
 }
 
+static int to_share(const struct tmx_settings *s) {
+  return s->sockets - (s->sockets < 2 * TMX_OWN_SOCKETS ? s->sockets / 2 : TMX_OWN_SOCKETS);
+}
+int tmx_sockets_out(const struct tmx_settings *s) { return (int)(to_share(s) * TMX_WORKER_CONNS); }
+int tmx_sockets_in(const struct tmx_settings *s) { return to_share(s) - tmx_sockets_out(s); }
+
 int tmx_node_zone(const struct tmx_settings *s, const char *node) {
   if (!strcmp(node, s->node)) return tmx_zone_index(s, s->zone);
   for (size_t i = 0; i < s->n_peers; i++)
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -53,6 +53,9 @@
 #endif
     bool
     tmx_operator_load(struct tmx_operator *o, const char *path, char *err, size_t cap);
+/* How the sockets are shared out: incoming connections, and connections kept to workers. */
+int tmx_sockets_in(const struct tmx_settings *s);
+int tmx_sockets_out(const struct tmx_settings *s);
 int tmx_node_zone(const struct tmx_settings *s, const char *node); /* -1: not known */
 int tmx_zone_index(const struct tmx_settings *s, const char *zone);
 int tmx_team_index(const struct tmx_settings *s, const char *team);
--- a/src/controller.c
+++ b/src/controller.c
@@ -5,6 +5,7 @@
 
 #include <gsl/gsl_rng.h>
 #include <http_parser.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -290,7 +291,8 @@
     return NULL;
   }
   c->server =
-      tmx_server_new(loop, s->listen, (int)(s->sockets * TMX_SERVER_CONNS_SHARE), on_request, c);
+      tmx_server_new(loop, s->listen, tmx_sockets_in(s),
+                     fmax(TMX_IDLE_CLOSE_S, TMX_IDLE_REPORTS * s->report_s), on_request, c);
   if (!c->server) {
     snprintf(err, cap, "settings: listen: %s cannot be listened on", s->listen);
     return NULL;
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -46,12 +46,14 @@
   size_t sent;
   struct tmx_req *req;
   bool too_long, complete, close_after, broken;
-  struct tmx_conn *prev, *next;
+  ev_tstamp used_at;            /* its latest whole request, or when it was opened */
+  struct tmx_conn *prev, *next; /* the longest unused first */
 };
 
 struct tmx_server {
   struct ev_loop *loop;
   int fd, n, max, port;
+  double idle_s;
   ev_io acc;
   tmx_handler h;
   void *arg;
@@ -198,7 +200,10 @@
     memset(&c->body, 0, sizeof c->body);
     c->req = r;
     ev_io_stop(l, &c->rd); /* one request at a time: the next one waits in the socket */
-    idle_after(c, TMX_IDLE_CLOSE_S);
+    idle_after(c, c->srv->idle_s);
+    c->used_at = ev_now(l);
+    DL_DELETE(c->srv->conns, c);
+    DL_APPEND(c->srv->conns, c);
     c->srv->h(c->srv->arg, r);
     return;
   }
@@ -222,13 +227,27 @@
   free(r);
 }
 
+/* All connections are taken: the one that was unused longest makes room. Workers that went to another
+ * controller, or were cut off, leave connections behind that nobody will use again; users must not be
+ * refused for them. false: all were in use a moment ago. */
+static bool make_room(struct tmx_server *s) {
+  struct tmx_conn *c;
+  DL_FOREACH(s->conns, c) {
+    if (ev_now(s->loop) - c->used_at < TMX_IDLE_LEAST_S) return false;
+    if (c->req || c->out.n) continue;
+    conn_close(c);
+    return true;
+  }
+  return false;
+}
+
 static void on_accept(struct ev_loop *l, ev_io *w, int ev) {
   (void)ev;
   struct tmx_server *s = w->data;
   for (int i = 0; i < 32; i++) {
     int fd = accept4(s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) return;
-    if (s->n >= s->max) {
+    if (s->n >= s->max && !make_room(s)) {
       close(fd);
       continue;
     }
@@ -244,14 +263,15 @@
     ev_init(&c->idle, conn_idle);
     c->rd.data = c->wr.data = c->idle.data = c;
     ev_io_start(l, &c->rd);
-    idle_after(c, TMX_IDLE_CLOSE_S);
+    c->used_at = ev_now(l);
+    idle_after(c, s->idle_s);
     DL_APPEND(s->conns, c);
     s->n++;
   }
 }
 
-struct tmx_server *tmx_server_new(struct ev_loop *loop, const char *addr, int max, tmx_handler h,
-                                  void *arg) {
+struct tmx_server *tmx_server_new(struct ev_loop *loop, const char *addr, int max, double idle_s,
+                                  tmx_handler h, void *arg) {
   struct sockaddr_in a;
   if (!tmx_parse_addr(addr, &a)) return NULL;
   int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0), one = 1;
@@ -268,6 +288,7 @@
   s->fd = fd;
   s->port = ntohs(a.sin_port);
   s->max = max;
+  s->idle_s = idle_s;
   s->h = h;
   s->arg = arg;
   ev_io_init(&s->acc, on_accept, fd, EV_READ);
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -20,8 +20,9 @@
   size_t body_len;
 };
 typedef void (*tmx_handler)(void *arg, struct tmx_req *r);
+/* A connection unused for idle_s is closed; sooner when max_conns are open and another comes. */
 struct tmx_server *tmx_server_new(struct ev_loop *loop, const char *addr, int max_conns,
-                                  tmx_handler h, void *arg);
+                                  double idle_s, tmx_handler h, void *arg);
 void tmx_server_free(struct tmx_server *s);
 int tmx_server_port(const struct tmx_server *s);
 /* Answers and frees the request; every request is answered exactly once. */
--- a/src/worker/health.c
+++ b/src/worker/health.c
@@ -66,7 +66,7 @@
 
 /* Connections to workers are kept while there are sockets for them. */
 static void close_some(struct tmx_workers *w) {
-  int max = (int)(w->c->set.sockets * TMX_WORKER_CONNS_SHARE);
+  int max = tmx_sockets_out(&w->c->set);
   if (w->n_clients <= max) return;
   struct worker *r, *t;
   HASH_ITER(hh, w->all, r, t) {
--- a/src/worker/worker.c
+++ b/src/worker/worker.c
@@ -17,9 +17,25 @@
   return r;
 }
 
+static void worker_free(struct tmx_workers *w, struct worker *r);
+
+/* The table is full: of machines that were heard once and never registered, the one that was silent
+ * longest is forgotten. Over months there are many of those. */
+static bool forget_one(struct tmx_workers *w) {
+  struct worker *r, *t, *oldest = NULL;
+  HASH_ITER(hh, w->all, r, t) {
+    if (r->m || r->held || r->in_flight || r->probe_busy) continue;
+    if (!oldest || fmax(r->heard_at, r->said_at) < fmax(oldest->heard_at, oldest->said_at))
+      oldest = r;
+  }
+  if (oldest) worker_free(w, oldest);
+  return oldest != NULL;
+}
+
 struct worker *tmx_worker_make(struct tmx_workers *w, const char *id) {
   struct worker *r = find(w, id);
-  if (r || HASH_COUNT(w->all) >= TMX_WORKERS_MAX) return r;
+  if (r) return r;
+  if (HASH_COUNT(w->all) >= TMX_WORKERS_MAX && !forget_one(w)) return NULL;
   r = calloc(1, sizeof *r);
   if (!r) abort();
   snprintf(r->id, sizeof r->id, "%s", id);
--- a/tests/fake.c
+++ b/tests/fake.c
@@ -424,7 +424,7 @@
   memset(w, 0, sizeof *w);
   snprintf(w->id, sizeof w->id, "%s", id);
   w->session = 1;
-  w->srv = tmx_server_new(loop, "127.0.0.1:0", 16, on_worker, w);
+  w->srv = tmx_server_new(loop, "127.0.0.1:0", 16, 60, on_worker, w);
   assert_non_null(w->srv);
   snprintf(w->addr, sizeof w->addr, "127.0.0.1:%d", tmx_server_port(w->srv));
 }
@@ -602,10 +602,10 @@
   memset(&cloud, 0, sizeof cloud);
   for (int i = 0; i < 4; i++) {
     state.doors[i].s = &state;
-    state.doors[i].srv = tmx_server_new(loop, "127.0.0.1:0", 200, on_state, &state.doors[i]);
+    state.doors[i].srv = tmx_server_new(loop, "127.0.0.1:0", 200, 60, on_state, &state.doors[i]);
     ports[i][0] = reserve_port(&ports[i][1]);
   }
-  cloud.srv = tmx_server_new(loop, "127.0.0.1:0", 100, on_cloud, &cloud);
+  cloud.srv = tmx_server_new(loop, "127.0.0.1:0", 100, 60, on_cloud, &cloud);
 }
 
 void fake_close(void) {
--- a/tests/test_rules.c
+++ b/tests/test_rules.c
@@ -733,6 +733,42 @@
   assert_int_equal(submit(a, "wk-000001", "batch", 1, 2, "t"), 201);
 }
 
+static void on_any(void *arg, struct tmx_req *r) {
+  (void)arg;
+  tmx_req_reply(r, 200, NULL, 0);
+}
+static void on_status(void *arg, int status, const uint8_t *body, size_t len) {
+  (void)body;
+  (void)len;
+  *(int *)arg = status;
+}
+static int ask_once(struct tmx_client *c) {
+  int status = -2;
+  assert_true(tmx_client_call(c, "GET", "/", NULL, 1, on_status, &status));
+  for (int i = 0; i < 100 && status == -2; i++) pump_for(0.01);
+  return status;
+}
+
+/* Workers that went elsewhere leave connections open: when all are taken, the one that was unused
+ * longest makes room for a newcomer, and none that was just used does. */
+static void idle_connections_make_room(void **st) {
+  (void)st;
+  struct tmx_server *s = tmx_server_new(loop, "127.0.0.1:0", 2, 60, on_any, NULL);
+  char addr[32];
+  snprintf(addr, sizeof addr, "127.0.0.1:%d", tmx_server_port(s));
+  struct tmx_client *c[3];
+  for (int i = 0; i < 3; i++) c[i] = tmx_client_new(loop, addr, 1);
+  assert_int_equal(ask_once(c[0]), 200);
+  assert_int_equal(ask_once(c[1]), 200);
+  assert_int_not_equal(ask_once(c[2]), 200);
+  pump_for(TMX_IDLE_LEAST_S + 0.1);
+  assert_int_equal(ask_once(c[0]), 200); /* so the other one is the longest unused */
+  assert_int_equal(ask_once(c[2]), 200);
+  assert_int_equal(ask_once(c[0]), 200);
+  for (int i = 0; i < 3; i++) tmx_client_free(c[i]);
+  tmx_server_free(s);
+}
+
 int main(void) {
   const struct CMUnitTest t[] = {
       cmocka_unit_test_setup_teardown(a_task_from_start_to_end, setup, teardown),
@@ -762,6 +798,7 @@
       cmocka_unit_test_setup_teardown(folding, setup, teardown),
       cmocka_unit_test_setup_teardown(answers_to_submissions, setup, teardown),
       cmocka_unit_test_setup_teardown(hostile_connections, setup, teardown),
+      cmocka_unit_test_setup_teardown(idle_connections_make_room, setup, teardown),
   };
   setenv("LOG_LEVEL", "error", 0);
   tmx_log_init("test");
