Arrays go to spot machines, except tasks that could not be run once more in time

Ruled out: waits for the first task (0.2 s for most), failing machines. Test: lost_answer_to_a_commit.

--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -38,6 +38,7 @@
 #define TMX_DIRECT_TRIES 4    /* that lost against a batch: then it goes with the next one */
 #define TMX_LEASE_TTL_MS 6000 /* ms; refused peers are noticed sooner by heartbeats */
 #define TMX_LEASE_RENEW_S 1.2 /* five tries a lease */
+#define TMX_STATE_SLOW_S 0.05   /* an answer that takes longer is one of those */
 #define TMX_STATE_TIMEOUT_S 2.0 /* answers take 10 ms, at times a few hundred */
 #define TMX_WATCH_WAIT_MS 15000 /* ms; long, since an idle watch costs nothing */
 #define TMX_WATCH_SHARE 0.45    /* of the request rate, for opening watches */
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -50,6 +50,7 @@
 };
 enum { OWN, ANY, SOON, VICTIMS, SETS }; /* the first three in this order: see place */
 #define SHAPES 48
+#define SECOND 1.0     /* added to the measure of a machine of the kind that comes second */
 #define COLD 10.0     /* added to the measure of a machine where a fetch would make it late */
 #define AVOIDED 100.0 /* ... where the job failed lately */
 
@@ -173,9 +174,21 @@
   return used[top] + fmin(fetch_time(m, s, now) / s->patience_s, 3.0);
 }
 
+/* Spot machines are taken back, and what runs there is lost. A task that could not be run once more
+ * before its job's next aim goes elsewhere if there is room; the others leave that room to it, and to
+ * services. */
+static bool second_choice(const struct round *r, const struct pj *j, bool spot) {
+  const struct tmx_spec *s = j->r.spec;
+  if (s->service || !s->spot) return false;
+  double left = j->r.next_aim_s - (r->in->wall - j->r.submitted);
+  bool once = s->checkpoint_s <= 0 && left < 2 * j->r.run_s + TMX_PATIENCE_S;
+  return spot == once;
+}
+
 static double value(const struct round *r, const struct pj *j, const struct pm *p) {
   const struct tmx_spec *s = j->r.spec;
   double v = tmx_booked_measure(&p->r, s, r->in->now);
+  if (second_choice(r, j, p->r.spot)) v += SECOND;
   /* the fetch alone would use up the time that the class has to start */
   if (fetch_time(&p->r, s, r->in->now) > s->patience_s * 0.6) v += COLD;
   return avoided(j, p) ? v + AVOIDED : v;
--- a/src/core/plan.h
+++ b/src/core/plan.h
@@ -40,6 +40,7 @@
   double stuck_since;    /* steady clock, s: no task of it was placed since; 0: none waits */
   double retry_at;       /* steady clock, s: not before */
   double aim_s, run_s;   /* when it should be done; how long a task is expected to run */
+  double next_aim_s;     /* the first of its aims that is still ahead; as aim_s if none is */
   uint32_t n_done, n_placed;
   bool open;                   /* else only its placed tasks count */
   struct tmx_plan_wait *waits; /* the first of those that wait; taken over */
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -26,6 +26,8 @@
   struct tmx_rounds *p;
   bool sent; /* in the batch under way */
   bool direct;
+  bool answered; /* but its commit is under way */
+  double sent_at;
   int tries;
 };
 
@@ -164,6 +166,19 @@
   return last > 0 ? last : TMX_NO_AIM_S;
 }
 
+/* The first of those that is still ahead, s after the submission. */
+static double next_aim(const struct tmx_ctl *c, const struct tmx_spec *s, double waited) {
+  double next = tmx_rounds_aim(c, s);
+  for (size_t i = 0; i < c->set.n_objectives; i++) {
+    double within = c->set.objectives[i].within_s;
+    if (!strcmp(c->set.objectives[i].class_name, s->class) &&
+        !strcmp(c->set.objectives[i].kind, "finished") && within > waited)
+      next = fmin(next, within);
+  }
+  if (s->deadline_s > waited) next = fmin(next, s->deadline_s);
+  return next;
+}
+
 /* How long a start may take: the class's own aim, or a plain wait. */
 static double patience_of(const struct tmx_ctl *c, const struct tmx_spec *s) {
   for (size_t i = 0; i < c->set.n_objectives; i++)
@@ -241,6 +256,7 @@
   f->stuck_since = j->stuck_since;
   f->retry_at = j->retry_at;
   f->aim_s = tmx_rounds_aim(c, &j->spec);
+  f->next_aim_s = next_aim(c, &j->spec, tmx_wall() - j->submitted);
   f->run_s = fmax(tmx_expected_run(&c->rep, &j->spec), j->longest);
   f->n_done = j->n_done;
   f->n_placed = j->n_placed;
@@ -361,23 +377,28 @@
 
 static void settle_arrival(struct tmx_rounds *p, size_t i, int res) {
   struct arrival *a = p->arrivals[i];
+  if (!a->answered) a->cb(a->arg, res);
+  a->answered = true;
+  if (a->direct) return; /* goes with the answer to its commit */
   p->arrivals[i] = p->arrivals[--p->n_arrivals];
-  a->cb(a->arg, res);
   tmx_buf_free(&a->value);
   free(a);
 }
 
-/* Answers those that are decided or have waited too long; the rest may be sent. */
+/* Answers those that are decided or have waited too long; the rest may be sent. Where the answer to
+ * a commit is slow, the log may tell sooner that the job is in it. */
 static void sort_arrivals(struct tmx_rounds *p) {
   double now = tmx_now();
   for (size_t i = 0; i < p->n_arrivals;) {
     struct arrival *a = p->arrivals[i];
-    if (!a->direct && !a->sent && tmx_job_find(&p->c->rep, a->id))
+    bool busy = a->direct || a->sent;
+    size_t n = p->n_arrivals;
+    if (!a->answered && (!busy || now - a->sent_at > TMX_STATE_SLOW_S) &&
+        tmx_job_find(&p->c->rep, a->id))
       settle_arrival(p, i, TMX_TXN_CONFLICT);
-    else if (!a->direct && !a->sent && now > a->until)
+    else if (!busy && now > a->until)
       settle_arrival(p, i, TMX_TXN_REFUSED);
-    else
-      i++;
+    i += p->n_arrivals == n;
   }
 }
 
@@ -398,9 +419,10 @@
   sort_arrivals(p);
   for (size_t i = 0; i < p->n_arrivals; i++) {
     struct arrival *a = p->arrivals[i];
-    if (a->direct) continue;
+    if (a->direct || a->answered) continue;
     full = full || b->t.n_conds >= conds || !fits(b, a->value.n, 0);
     a->sent = !full;
+    a->sent_at = tmx_now();
     if (full) continue;
     condition(&b->t, a->id);
     tmx_buf_add(&b->jobs, a->value.p, a->value.n);
@@ -424,7 +446,7 @@
   struct arrival *a = arg;
   struct tmx_rounds *p = a->p;
   a->direct = false;
-  if (res == TMX_TXN_CONFLICT) { /* again once the replica has what won */
+  if (res == TMX_TXN_CONFLICT && !a->answered) { /* again once the replica has what won */
     a->tries++;
     if (rev > p->wait_rev) p->wait_rev = rev;
     p->wait_rev_at = tmx_now();
@@ -482,6 +504,7 @@
       tmx_txn_if(&t, TMX_K_HEAD, c->rep.head);
       condition(&t, a->id);
       tmx_txn_put(&t, key, &a->value, 0);
+      a->sent_at = tmx_now();
       a->direct = tmx_link_commit(c->link, &t, true, on_direct, a);
       idle -= a->direct;
     }
--- a/tests/fake.c
+++ b/tests/fake.c
@@ -196,7 +196,10 @@
   tmx_cbor_free(m);
   if (lose) {
     d->lose_next_txn = false;
-    tmx_req_reply(q, 500, NULL, 0); /* says nothing of what became of it */
+    if (d->hold && !d->held)
+      d->held = q;
+    else
+      tmx_req_reply(q, 500, NULL, 0); /* says nothing of what became of it */
   } else {
     reply_rev(q, 200);
   }
@@ -609,6 +612,8 @@
 }
 
 void fake_close(void) {
+  for (int i = 0; i < 4; i++)
+    if (state.doors[i].held) tmx_req_reply(state.doors[i].held, 500, NULL, 0);
   for (size_t i = 0; i < state.n_w; i++) tmx_req_reply(state.w[i].req, 503, NULL, 0);
   state.n_w = 0;
   for (int i = 0; i < 4; i++) {
--- a/tests/fake.h
+++ b/tests/fake.h
@@ -33,6 +33,8 @@
   bool freeze_watch;  /* events do not come through */
   bool lose_next_txn; /* the next transaction is applied, its answer is lost */
   char lose_key[64];  /* ... only one that writes this key */
+  bool hold;          /* ... and does not come at all rather than say nothing */
+  struct tmx_req *held;
 };
 struct fake_state {
   struct fake_entry *e;
--- a/tests/test_rules.c
+++ b/tests/test_rules.c
@@ -411,7 +411,8 @@
   assert_int_equal(w.status, 503);
 }
 
-/* The answer to a commit is lost: nobody is told anything that is not known. */
+/* The answer to a commit is lost: nobody is told anything that is not known. A submission is known as
+ * soon as the log shows it; the user does not wait for the answer. */
 static void lost_answer_to_a_commit(void **st) {
   (void)st;
   state.doors[0].lose_next_txn = true;
@@ -422,6 +423,12 @@
   state.doors[0].lose_next_txn = true;
   assert_int_equal(cancel_job(a, "wk-000001").status, 503);
   assert_string_equal(cancel_job(a, "wk-000001").state, WV_CANCELLED);
+  state.doors[0].lose_next_txn = state.doors[0].hold = true;
+  double t = tmx_now();
+  assert_int_equal(submit(a, "wk-000002", "batch", 1, 2, "t"), 200);
+  assert_true(tmx_now() - t < TMX_STATE_TIMEOUT_S / 2);
+  pump_for(TMX_STATE_TIMEOUT_S + 0.2); /* the commit's own answer is given up on, and changes nothing */
+  assert_int_equal(submit(a, "wk-000002", "batch", 1, 2, "t"), 200);
 }
 
 /* A lost answer to a batch: what it placed is found in the log, once. */
