--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -166,6 +166,7 @@
   0.02                       /* of the CPUs rented: less that waits is no reason to keep machines */
 #define TMX_DRAIN_HELD 0.15  /* of all CPUs on machines that wait for replicas to leave them */
 #define TMX_HIRE_MAX 50      /* machines; PROTOCOL's limit of one request */
+#define TMX_HIRE_OFFER_MAX 150 /* machines asked of one type, zone and kind in one weighing */
 #define TMX_HIRES_ROUND 1024 /* machines rented in one weighing */
 #define TMX_DELETE_MAX 100   /* machines; PROTOCOL's limit of one request */
 #define TMX_UNREACHED_LEASES \
--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -445,6 +445,13 @@
       }
   struct tmx_hire h[32];
   size_t n = tmx_capacity(d.v, d.n, o, n_o, cm, n_c, have, h, 32);
+  /* calls are few, and the large machines bring the most room a call */
+  for (size_t i = 1; i < n; i++)
+    for (size_t j = i; j && o[h[j].offer].type->cpus > o[h[j - 1].offer].type->cpus; j--) {
+      struct tmx_hire t = h[j];
+      h[j] = h[j - 1];
+      h[j - 1] = t;
+    }
   for (size_t i = 0; i < n; i++) hire(k, &o[h[i].offer], h[i].count);
   free(cm);
   free(d.v);
@@ -649,8 +656,11 @@
    * Machines that died show as failed in the list soon; the others come back with what they have,
    * and what they hold could hardly run elsewhere. So nothing of it is given up for silence before
    * all its work must be gone, and a lease more. */
-  for (size_t z = 0; z < c->set.n_zones; z++)
+  bool cut = false;
+  for (size_t z = 0; z < c->set.n_zones; z++) {
     if (tmx_zone_seems_cut(&signs[z])) k->cut_until[z] = now + TMX_ZONE_CUT_S;
+    cut |= k->cut_until[z] > now;
+  }
   double given_up = c->set.cancel_s + c->set.lease_s;
   HASH_ITER(hh, r->machines, m, mt) {
     if (!m->known || d->n == max) continue;
@@ -690,7 +700,7 @@
       HASH_ADD_STR(k->empties, id, e);
     }
     e->pass = k->pass;
-    if (m->tasks || waiting) e->since = now;
+    if (m->tasks || waiting || cut) e->since = now;
     if (t && !m->drain && !m->tasks && now - e->since > c->set.op.idle_return_s &&
         room - t->cpus > services * c->set.op.headroom) {
       room -= t->cpus;
@@ -698,7 +708,8 @@
       e->since = now;
     }
   }
-  shrink(k, booked + asked, waiting);
+  /* what is out of reach is no room: nothing else is returned for it */
+  shrink(k, booked + asked, waiting || cut);
   struct empty *e, *et;
   HASH_ITER(hh, k->empties, e, et) {
     if (tmx_machine_find(r, e->id)) continue;
--- a/src/core/capacity.c
+++ b/src/core/capacity.c
@@ -17,6 +17,12 @@
          s->gpus <= t->gpus && s->mem <= t->mem && (d->zone < 0 || zone == d->zone);
 }
 
+static uint32_t asked_of(const struct tmx_hire *h, size_t n, size_t offer) {
+  for (size_t i = 0; i < n; i++)
+    if (h[i].offer == (int)offer) return h[i].count;
+  return 0;
+}
+
 static uint32_t fits(const struct tmx_spec *s, double cpus, double gpus, double mem) {
   double n = 1e6;
   if (s->cpus > 0) n = fmin(n, cpus / s->cpus + 1e-9);
@@ -59,6 +65,9 @@
       double best_v = 0;
       for (size_t k = 0; k < n_o; k++) {
         if (!suits(s, o[k].type, o[k].zone, o[k].spot, &d[i])) continue;
+        /* how many there are is not published: a large demand asks several offers at once, rather
+         * than all of it of the cheapest, round after round, until that one is exhausted */
+        if (asked_of(out, n_out, k) >= TMX_HIRE_OFFER_MAX) continue;
         uint32_t in = fits(s, o[k].type->cpus, o[k].type->gpus, o[k].type->mem);
         if (!in) continue;
         /* price of a task's room, counting only the room that is wanted now by half */
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -459,6 +459,30 @@
   /* a service never gets a spot machine */
   struct tmx_offer spot = {&small, 0, true, 0.05};
   assert_int_equal(tmx_capacity(&d, 1, &spot, 1, NULL, 0, 10, h, 4), 0);
+  /* a large demand does not wait until the cheapest offer is exhausted */
+  d.tasks = 2000;
+  assert_int_equal(tmx_capacity(&d, 1, o, 2, NULL, 0, 10, h, 4), 2);
+  assert_int_equal(h[0].count, TMX_HIRE_OFFER_MAX);
+  assert_int_equal(h[1].count, TMX_HIRE_OFFER_MAX);
+}
+
+/* Arrays leave ordinary machines to others; a task that could not be run once more before its job's
+ * next aim does not go where machines are taken back. */
+static void who_goes_to_spot_machines(void **st) {
+  (void)st;
+  for (int k = 0; k < 3; k++) {
+    struct paper *p = paper(2, 1, 1);
+    p->machines[1].spot = true;
+    job(p, 0, k == 2, 1, 2)->spot = k < 2;
+    p->jobs[0].next_aim_s = 250;
+    p->jobs[0].run_s = k ? 150 : 40;
+    struct tmx_plan_output out;
+    plan(p, &out);
+    assert_int_equal(out.n_ops, 1);
+    assert_string_equal(out.ops[0].machine, p->machines[!k].id);
+    free(out.ops);
+    paper_free(p);
+  }
 }
 
 int main(void) {
@@ -477,6 +501,7 @@
       cmocka_unit_test(fed_in_steps_as_afresh),
       cmocka_unit_test(who_seems_lost),
       cmocka_unit_test(a_cut_zone_is_told_from_dead_machines),
+      cmocka_unit_test(who_goes_to_spot_machines),
       cmocka_unit_test(rents_for_what_waits),
   };
   return cmocka_run_group_tests(t, NULL, NULL);
