--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -70,6 +70,7 @@
 #define TMX_BEGIN_S                                                                                \
   150.0                       /* a job that waited this long gets a first task, and a share of the \
                                  room with others as old: the largest begin within four minutes */
+#define TMX_URGENT 0.25       /* of the time to its next aim: a job with less to spare goes first */
 #define TMX_LANE_SHARE 0.1    /* of the tasks placed: that share for the oldest jobs */
 #define TMX_MOVES_LEAST 2     /* replicas down at a time because machines are returned ... */
 #define TMX_MOVES_SHARE 0.006 /* ... or this share of all replicas */
@@ -154,7 +155,7 @@
 #define TMX_PEAK_S                                                                             \
   60                            /* room is kept for the peak of this long: the least charge of \
                                    a machine, and longer than a boot */
-#define TMX_ROOM_OVER_PEAK 0.1  /* ... and this share more */
+#define TMX_ROOM_OVER_PEAK 0.1  /* ... and this share more, less among more than 100 machines */
 #define TMX_ROOM_TO_MOVE 2.0    /* times a machine's replicas must be free in its zone first */
 #define TMX_ROOM_AFTER 0.2      /* ... and this share of the zone's part of the peak */
 #define TMX_DRAIN_SPACING_S 3.0 /* between two choices of machines to be returned ... */
--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -60,7 +60,7 @@
   char from[TMX_ID_MAX];
   struct listed *listed;
   struct empty *empties;
-  struct blocked blocked[64];
+  struct blocked blocked[TMX_TYPES_MAX * TMX_ZONES_MAX * 2];
   size_t n_blocked;
   uint64_t hire_seq;
   double booked[TMX_PEAK_S]; /* CPUs booked and asked for, the most in each of the last seconds */
@@ -149,6 +149,9 @@
   }
   if (n) {
     if (!k->n_types) tmx_log(TMX_INFO, "cloud: %zu machine types", n);
+    if (!k->n_types && tmx_r_len(ts) > n)
+      tmx_log(TMX_ERROR, "cloud: %zu of %zu machine types are left out", tmx_r_len(ts) - n,
+              tmx_r_len(ts));
     bool sizes = n != k->n_types;
     for (size_t i = 0; i < n && !sizes; i++)
       sizes = strcmp(t[i].name, k->types[i].name) || t[i].cpus != k->types[i].cpus ||
@@ -516,6 +519,14 @@
   return x->v == y->v ? strcmp(x->m->id, y->m->id) : x->v > y->v ? -1 : 1;
 }
 
+/* CPUs of the services on a machine. */
+static double services_on(const struct tmx_machine *m) {
+  double cpus = 0;
+  for (const struct tmx_task *t = m->tasks; t; t = t->next)
+    if (t->job->spec.service) cpus += t->job->spec.cpus;
+  return cpus;
+}
+
 /* Returns the dearest machines that the peak of the last while would not have needed, a few at a
  * time. Their arrays run to their end; their replicas move, so room for them must be free in the
  * same zone. */
@@ -537,7 +548,7 @@
       /* work waits: what is about to be returned is nearer than anything that must boot */
       if (waiting && m->tasks && !(m->errors >= TMX_SICK_ERRORS && m->error_two))
         drain(k, m, false);
-      else
+      else if (services_on(m) > 0) /* arrays that run out hold up nothing else */
         draining += t->cpus;
       continue;
     }
@@ -545,15 +556,15 @@
     if (m->zone >= 0 && !m->spot) zone_free[m->zone] += t->cpus - m->cpus;
   }
   double step = TMX_DRAIN_SHARE * have;
+  /* the more machines, the less a chance arrival is beside the rest */
+  double over = fmin(TMX_ROOM_OVER_PEAK, 1 / sqrt(fmax(known, 1)));
   if (waiting) return;
   struct choice *v = calloc(known + 1, sizeof *v);
   if (!v) abort();
   HASH_ITER(hh, r->machines, m, mt) {
     const struct tmx_type *t = tmx_cloud_type(k, m->type);
     if (!m->known || !t || m->drain || m->zone < 0) continue;
-    double services = 0;
-    for (struct tmx_task *x = m->tasks; x; x = x->next)
-      if (x->job->spec.service) services += x->job->spec.cpus;
+    double services = services_on(m);
     double spare = zone_free[m->zone] - (t->cpus - m->cpus);
     if (services > 0 &&
         spare < TMX_ROOM_TO_MOVE * services + TMX_ROOM_AFTER * peak / (double)c->set.n_zones)
@@ -567,9 +578,8 @@
   for (size_t i = 0; i < n && returning < step; i++) {
     struct tmx_machine *x = v[i].m;
     double cpus = tmx_cloud_type(k, x->type)->cpus;
-    bool holds = false;
-    for (struct tmx_task *t = x->tasks; t && !holds; t = t->next) holds = t->job->spec.service;
-    if (have - cpus < peak * (1 + TMX_ROOM_OVER_PEAK)) continue;
+    bool holds = services_on(x) > 0;
+    if (have - cpus < peak * (1 + over)) continue;
     if (holds && draining > 0 && draining + cpus > TMX_DRAIN_HELD * have) continue;
     if (holds) draining += cpus;
     have -= cpus;
@@ -595,8 +605,7 @@
     cpus[m->spot] += t->cpus;
     booked[m->spot] += m->cpus;
     if (m->drain) drain += t->cpus;
-    for (struct tmx_task *x = m->tasks; x; x = x->next)
-      if (x->job->spec.service) services += x->job->spec.cpus;
+    services += services_on(m);
   }
   HASH_ITER(hh, k->c->rep.jobs, j, jt)
   if (!j->fin) waiting += (j->spec.tasks - j->n_done - j->n_placed) * j->spec.cpus;
@@ -647,8 +656,7 @@
     const struct tmx_type *t = tmx_cloud_type(k, m->type);
     if (t && !m->drain) room += t->cpus - m->cpus;
     booked += m->cpus;
-    for (struct tmx_task *x2 = m->tasks; x2; x2 = x2->next)
-      if (x2->job->spec.service) services += x2->job->spec.cpus;
+    services += services_on(m);
   }
   /* among thousands of tasks some always wait for a moment */
   bool waiting = asked > TMX_WAITING_SHARE * (room + booked);
--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -106,8 +106,10 @@
     s->n_teams = i + 1;
   }
   json_t *obj = json_object_get(c, "objectives");
+  if (json_array_size(obj) > TMX_OBJECTIVES_MAX)
+    fail(r, "cluster.", "objectives", "too long a list");
   json_array_foreach(obj, i, e) {
-    if (s->n_objectives == TMX_OBJECTIVES_MAX) break;
+    if (r->bad) return;
     struct tmx_objective *t = &s->objectives[s->n_objectives];
     const char *k = json_string_value(json_object_get(e, "kind"));
     const char *cl = json_string_value(json_object_get(e, "class"));
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -174,15 +174,15 @@
   return used[top] + fmin(fetch_time(m, s, now) / s->patience_s, 3.0);
 }
 
-/* Spot machines are taken back, and what runs there is lost. A task that could not be run once more
+/* Spot machines are taken back, and what runs there is lost. A task that could not make that good
  * before its job's next aim goes elsewhere if there is room; the others leave that room to it, and to
  * services. */
 static bool second_choice(const struct round *r, const struct pj *j, bool spot) {
   const struct tmx_spec *s = j->r.spec;
   if (s->service || !s->spot) return false;
   double left = j->r.next_aim_s - (r->in->wall - j->r.submitted);
-  bool once = s->checkpoint_s <= 0 && left < 2 * j->r.run_s + TMX_PATIENCE_S;
-  return spot == once;
+  double lost = s->checkpoint_s > 0 ? fmin(s->checkpoint_s, j->r.run_s) : j->r.run_s;
+  return spot == (left < j->r.run_s + lost + TMX_PATIENCE_S);
 }
 
 static double value(const struct round *r, const struct pj *j, const struct pm *p) {
@@ -529,12 +529,16 @@
 /* ------------------------------------------------------------ the order */
 
 /* The place of an array in the order, lower first. What can still meet an aim comes before what
- * cannot, the least remaining work first, since that brings the most jobs home in time. */
+ * cannot, the least remaining work first, since that brings the most jobs home in time. First of all
+ * come those that would miss their next aim if they waited for the others: a long run cannot wait,
+ * however much is asked for, and a short one can. */
 static double order_of(const struct tmx_round *in, const struct tmx_plan_job *j) {
   const struct tmx_spec *s = j->spec;
   double waited = in->wall - j->submitted, run = fmax(j->run_s, 1);
   uint32_t left = s->tasks - j->n_done, waiting = left - j->n_placed;
   double work = (waiting + 0.5 * j->n_placed) * fmax(s->cpus, 0.1) * run;
+  double slack = j->next_aim_s - waited - run;
+  if (slack > 0 && slack < TMX_URGENT * j->next_aim_s) return work - 1e9;
   return waited + run > j->aim_s ? 1e9 + work : work;
 }
 
--- a/src/state/link.c
+++ b/src/state/link.c
@@ -46,6 +46,7 @@
   bool watching;
   /* confirming */
   bool reading, unserved; /* unserved: the latest read was refused or lost */
+  bool hurry;             /* the next read does not wait for its turn */
   double read_began, last_read, confirmed;
   uint64_t pend_need; /* a read's revision that the replica has not reached */
   double pend_began, pend_since;
@@ -276,11 +277,12 @@
   DL_FOREACH(k->waiters, w) if (!w->need) wanted = true;
   if (!wanted) return;
   double wait = k->last_read + sharers(k) / (k->set->state_rps * TMX_CONFIRM_SHARE) - tmx_now();
-  if (wait > 0.001) {
+  if (wait > 0.001 && !k->hurry) {
     ev_timer_set(&k->confirm_t, wait, 0);
     ev_timer_start(k->loop, &k->confirm_t);
     return;
   }
+  k->hurry = false;
   k->read_began = k->last_read = tmx_now();
   k->reading = tmx_client_call(k->calls, "GET", WP_KV "?prefix=" TMX_K_HEAD "&page=1", NULL,
                                TMX_STATE_TIMEOUT_S, on_read, k);
@@ -314,6 +316,12 @@
   return true;
 }
 
+void tmx_link_hurry(struct tmx_link *k) {
+  k->hurry = true;
+  ev_timer_stop(k->loop, &k->confirm_t);
+  start_read(k);
+}
+
 double tmx_link_confirmed(const struct tmx_link *k) { return k->confirmed; }
 bool tmx_link_served(const struct tmx_link *k) { return !k->unserved; }
 uint64_t tmx_link_inc(const struct tmx_link *k) { return k->inc; }
--- a/src/state/link.h
+++ b/src/state/link.h
@@ -23,6 +23,8 @@
  * false: not within the time */
 typedef void (*tmx_confirm_cb)(void *arg, bool ok);
 bool tmx_link_confirm(struct tmx_link *k, double within, tmx_confirm_cb cb, void *arg);
+/* For the few that have waited already: the next read is not paced. */
+void tmx_link_hurry(struct tmx_link *k);
 
 /* A transaction is built, then sent. Result: TXN_OK committed at rev; TXN_CONFLICT not
  * committed; TXN_REFUSED not executed (rate, outage); TXN_UNKNOWN may be applied, now or later. */
--- a/src/user/user.c
+++ b/src/user/user.c
@@ -174,6 +174,7 @@
   } else if (res == TMX_TXN_CONFLICT && /* known already: its state is read first */
              tmx_link_confirm(a->u->c->link, TMX_SUBMIT_WAIT_S, on_confirm, a)) {
     a->otherwise = 503;
+    tmx_link_hurry(a->u->c->link);
   } else {
     refuse(a->req,
            res == TMX_TXN_REFUSED ? "not committed in time" : "not known whether committed");
--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -153,6 +153,16 @@
     assert_non_null(strstr(err, fields[i]));
     assert_null(strchr(err, '\n'));
   }
+  /* more than a table holds is refused, not cut short */
+  char many[4096];
+  const char *at = strstr(good, "\"cluster\"");
+  assert_non_null(at);
+  at = strchr(at, '{') + 1;
+  int n = snprintf(many, sizeof many, "%.*s\"objectives\":[{}", (int)(at - good), good);
+  for (int i = 0; i < TMX_OBJECTIVES_MAX; i++) n += snprintf(many + n, sizeof many - n, ",{}");
+  snprintf(many + n, sizeof many - n, "],%s", at);
+  assert_false(tmx_settings_parse(&s, many, err, sizeof err));
+  assert_non_null(strstr(err, "objectives"));
   assert_false(tmx_settings_parse(&s, "[1]", err, sizeof err));
   assert_false(tmx_settings_parse(&s, "{", err, sizeof err));
 }
