Values are counted as JSON, as the state service counts them

The limit was kept in CBOR, where a number is one byte and a job 80; as JSON it is up to 18 and 120. Batches, pages of a fold, views and submissions now go by their length as JSON; fakes refuse what is larger. Test: many_submissions_in_small_values. Zones' signs of life are extrapolated, so that 40% of a single zone dying at once is not taken for a cut.

--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -48,6 +48,8 @@
 #define TMX_WATCH_LAG_S 0.7     /* behind a revision read this long: open the watch anew */
 #define TMX_STATE_RETRY_S 0.3   /* after an error of the state service */
 #define TMX_TXN_BYTES 49152     /* bytes; PROTOCOL allows 64 KiB, counted as JSON */
+#define TMX_VALUE_SHARE 0.9     /* of the largest value, counted as JSON: what is used of it */
+#define TMX_JSON_FRAME 64       /* bytes; what stands round a list, a value or a condition */
 #define TMX_FRESH_MARGIN_S                                                                   \
   1.0 /* taken off cancel_s - lease_s: a lease counts from when the report was sent, which is \
          before it is answered, so only clocks that drift by 0.05% are left to allow for */
@@ -70,7 +72,6 @@
 #define TMX_BEGIN_S                                                                                \
   150.0                       /* a job that waited this long gets a first task, and a share of the \
                                  room with others as old: the largest begin within four minutes */
-#define TMX_URGENT 0.25       /* of the time to its next aim: a job with less to spare goes first */
 #define TMX_LANE_SHARE 0.1    /* of the tasks placed: that share for the oldest jobs */
 #define TMX_MOVES_LEAST 2     /* replicas down at a time because machines are returned ... */
 #define TMX_MOVES_SHARE 0.006 /* ... or this share of all replicas */
--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -558,6 +558,7 @@
   double step = TMX_DRAIN_SHARE * have;
   /* the more machines, the less a chance arrival is beside the rest */
   double over = fmin(TMX_ROOM_OVER_PEAK, 1 / sqrt(fmax(known, 1)));
+  double after = fmin(TMX_ROOM_AFTER, 2 * over);
   if (waiting) return;
   struct choice *v = calloc(known + 1, sizeof *v);
   if (!v) abort();
@@ -567,7 +568,7 @@
     double services = services_on(m);
     double spare = zone_free[m->zone] - (t->cpus - m->cpus);
     if (services > 0 &&
-        spare < TMX_ROOM_TO_MOVE * services + TMX_ROOM_AFTER * peak / (double)c->set.n_zones)
+        spare < TMX_ROOM_TO_MOVE * services + after * peak / (double)c->set.n_zones)
       continue;
     /* price of a CPU, less for work under way and for replicas that must move */
     v[n++] = (struct choice){m, (m->spot ? t->spot_price : t->price) / t->cpus *
--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -182,6 +182,10 @@
 int tmx_sockets_out(const struct tmx_settings *s) { return (int)(to_share(s) * TMX_WORKER_CONNS); }
 int tmx_sockets_in(const struct tmx_settings *s) { return to_share(s) - tmx_sockets_out(s); }
 
+size_t tmx_value_room(const struct tmx_settings *s) {
+  return (size_t)(s->value_kb * 1024 * TMX_VALUE_SHARE) - TMX_JSON_FRAME;
+}
+
 int tmx_node_zone(const struct tmx_settings *s, const char *node) {
   if (!strcmp(node, s->node)) return tmx_zone_index(s, s->zone);
   for (size_t i = 0; i < s->n_peers; i++)
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -56,6 +56,7 @@
 /* How the sockets are shared out: incoming connections, and connections kept to workers. */
 int tmx_sockets_in(const struct tmx_settings *s);
 int tmx_sockets_out(const struct tmx_settings *s);
+size_t tmx_value_room(const struct tmx_settings *s); /* bytes, as JSON, for what a value lists */
 int tmx_node_zone(const struct tmx_settings *s, const char *node); /* -1: not known */
 int tmx_zone_index(const struct tmx_settings *s, const char *zone);
 int tmx_team_index(const struct tmx_settings *s, const char *team);
--- a/src/controller.c
+++ b/src/controller.c
@@ -79,7 +79,7 @@
   tmx_txn_if(&t, TMX_K_VIEW, c->rep.view.stamp);
   tmx_view_encode(&b, v);
   /* a value is bounded: the oldest exceptions go, their machines fall back to the hash */
-  while (b.n > c->set.value_kb * 1024 * 0.8 && v->n_exceptions) {
+  while (tmx_json_len(&b) > tmx_value_room(&c->set) && v->n_exceptions) {
     size_t cut = v->n_exceptions / 4 + 1;
     v->exceptions += cut;
     v->n_exceptions -= cut;
--- a/src/core/outlook.h
+++ b/src/core/outlook.h
@@ -26,7 +26,7 @@
 struct tmx_zone_signs { /* of one zone's machines, as their owners tell */
   unsigned machines;
   unsigned lost;  /* several probes in a row were lost */
-  unsigned alive; /* gave a sign of life within TMX_ALIVE_S */
+  unsigned alive; /* live, as far as signs of life within TMX_ALIVE_S tell */
 };
 /* Does the zone seem cut off, rather than its machines dead. Those that nobody asked of late say
  * nothing: when a zone falls silent its machines are asked one after the other, and the first ones
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -529,16 +529,12 @@
 /* ------------------------------------------------------------ the order */
 
 /* The place of an array in the order, lower first. What can still meet an aim comes before what
- * cannot, the least remaining work first, since that brings the most jobs home in time. First of all
- * come those that would miss their next aim if they waited for the others: a long run cannot wait,
- * however much is asked for, and a short one can. */
+ * cannot, the least remaining work first, since that brings the most jobs home in time. */
 static double order_of(const struct tmx_round *in, const struct tmx_plan_job *j) {
   const struct tmx_spec *s = j->spec;
   double waited = in->wall - j->submitted, run = fmax(j->run_s, 1);
   uint32_t left = s->tasks - j->n_done, waiting = left - j->n_placed;
   double work = (waiting + 0.5 * j->n_placed) * fmax(s->cpus, 0.1) * run;
-  double slack = j->next_aim_s - waited - run;
-  if (slack > 0 && slack < TMX_URGENT * j->next_aim_s) return work - 1e9;
   return waited + run > j->aim_s ? 1e9 + work : work;
 }
 
--- a/src/net/cbor.c
+++ b/src/net/cbor.c
@@ -1,6 +1,7 @@
 #include "net/cbor.h"
 
 #include <math.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -264,3 +265,50 @@
 bool tmx_r_kbool(const cbor_item_t *m, const char *k, bool *out) {
   return tmx_r_bool(tmx_r_get(m, k), out);
 }
+
+/* ------------------------------------------------------------ length as JSON */
+
+size_t tmx_json_text(const char *s, size_t n) {
+  size_t len = 2;
+  for (size_t i = 0; i < n; i++) {
+    unsigned char c = (unsigned char)s[i];
+    len += c < 0x20 || c >= 0x7f ? 6 : c == '"' || c == '\\' ? 2 : 1;
+  }
+  return len;
+}
+
+static size_t item_len(const cbor_item_t *it) {
+  char text[40];
+  double num;
+  uint64_t whole;
+  size_t len = 2;
+  if (cbor_isa_string(it))
+    return tmx_json_text((const char *)cbor_string_handle(it), cbor_string_length(it));
+  if (tmx_r_u64(it, &whole))
+    return (size_t)snprintf(text, sizeof text, "%llu", (unsigned long long)whole);
+  if (tmx_r_num(it, &num)) return (size_t)snprintf(text, sizeof text, "%.17g", num);
+  if (cbor_isa_array(it)) {
+    for (size_t i = 0; i < cbor_array_size(it); i++) len += item_len(cbor_array_handle(it)[i]) + 2;
+    return len;
+  }
+  if (cbor_isa_map(it)) {
+    const struct cbor_pair *p = cbor_map_handle(it);
+    for (size_t i = 0; i < cbor_map_size(it); i++)
+      len += item_len(p[i].key) + item_len(p[i].value) + 4;
+    return len;
+  }
+  return 5; /* false, the longest of the others */
+}
+
+size_t tmx_json_len(const struct tmx_buf *b) {
+  size_t len = 0;
+  for (size_t at = 0; at < b->n;) {
+    struct cbor_load_result res;
+    cbor_item_t *it = cbor_load(b->p + at, b->n - at, &res);
+    if (!it) return SIZE_MAX / 2; /* not ours: larger than any limit */
+    len += item_len(it) + 2;
+    at += res.read;
+    cbor_decref(&it);
+  }
+  return len;
+}
--- a/src/net/cbor.h
+++ b/src/net/cbor.h
@@ -26,6 +26,11 @@
 void tmx_w_knum(struct tmx_buf *b, const char *k, double v);
 void tmx_w_kbool(struct tmx_buf *b, const char *k, bool v);
 
+/* What the state service counts: the length as JSON, of encoded items one after the other and of a
+ * text. Numbers are several times as long as in CBOR. Separators count as two characters. */
+size_t tmx_json_len(const struct tmx_buf *b);
+size_t tmx_json_text(const char *s, size_t n);
+
 /* NULL for anything that is not exactly one well-formed, shallow item. */
 cbor_item_t *tmx_cbor_parse(const uint8_t *p, size_t n);
 void tmx_cbor_free(cbor_item_t *it);
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -20,6 +20,7 @@
 struct arrival { /* a submission on its way into the log */
   char id[TMX_ID_MAX];
   struct tmx_buf value;
+  size_t json; /* its length as JSON */
   double until;
   tmx_arrival_cb cb;
   void *arg;
@@ -297,7 +298,7 @@
   in->n_teams = c->set.n_teams;
   memcpy(in->teams, c->set.teams, sizeof in->teams);
   memcpy(in->usage, r->usage, sizeof in->usage);
-  double room = (double)c->set.value_kb * 1024 * 0.85 * (c->set.txn_ops - 1);
+  double room = (double)tmx_value_room(&c->set) * (c->set.txn_ops - 1);
   in->max_ops = (size_t)(fmin(room, TMX_TXN_BYTES) / TMX_LINE_TYPICAL);
   for (size_t i = 0; i < p->n_ends; i++) {
     struct tmx_task *t = task_of(r, &p->ends[i]);
@@ -342,8 +343,9 @@
   struct tmx_rounds *p;
   struct tmx_txn t;
   struct tmx_buf list, jobs, v;
-  size_t lines, n_jobs, value_max;
-  int spare; /* puts that may still be used, head aside */
+  size_t lines, n_jobs;
+  size_t value, value_max, txn; /* of this value, at most, and of all before it; as JSON */
+  int spare;                    /* puts that may still be used, head aside */
 };
 
 static void flush(struct batch *b) {
@@ -355,18 +357,24 @@
   tmx_txn_put(&b->t, key, &b->v, 0);
   b->list.n = b->jobs.n = 0;
   b->lines = b->n_jobs = 0;
+  b->txn += b->value + TMX_JSON_FRAME;
+  b->value = 0;
   b->spare--;
 }
 
-/* Room for n more bytes in a value that is not full; false: the batch is full. */
+/* Room for n more bytes in a value that is not full; false: the batch is full. Limits are counted
+ * as JSON: a value that is larger would be refused again and again, and hold up the log. */
 static bool fits(struct batch *b, size_t n, int more_puts) {
-  if (b->t.ops.n + b->list.n + b->jobs.n + n > TMX_TXN_BYTES) return false;
-  if (b->list.n + b->jobs.n + n > b->value_max) flush(b);
+  size_t all = b->txn + b->value + n + (size_t)b->t.n_conds * TMX_JSON_FRAME;
+  if (all > TMX_TXN_BYTES) return false;
+  if (b->value + n > b->value_max) flush(b);
   return b->spare - more_puts >= 1;
 }
 
 static bool add_line(struct batch *b, const char *line, int more_puts) {
-  if (!fits(b, strlen(line) + 3, more_puts)) return false;
+  size_t len = tmx_json_text(line, strlen(line)) + 1;
+  if (!fits(b, len, more_puts)) return false;
+  b->value += len;
   if (tmx_log_on(TMX_DEBUG)) tmx_log(TMX_DEBUG, "op: %s", line);
   tmx_w_str(&b->list, line);
   b->lines++;
@@ -420,12 +428,13 @@
   for (size_t i = 0; i < p->n_arrivals; i++) {
     struct arrival *a = p->arrivals[i];
     if (a->direct || a->answered) continue;
-    full = full || b->t.n_conds >= conds || !fits(b, a->value.n, 0);
+    full = full || b->t.n_conds >= conds || !fits(b, a->json, 0);
     a->sent = !full;
     a->sent_at = tmx_now();
     if (full) continue;
     condition(&b->t, a->id);
     tmx_buf_add(&b->jobs, a->value.p, a->value.n);
+    b->value += a->json;
     b->n_jobs++;
   }
 }
@@ -469,6 +478,7 @@
   if (!a) abort();
   snprintf(a->id, sizeof a->id, "%s", id);
   a->value = *value;
+  a->json = tmx_json_len(&a->value);
   memset(value, 0, sizeof *value);
   a->until = tmx_now() + within;
   a->cb = cb;
@@ -550,7 +560,7 @@
   struct tmx_ctl *c = p->c;
   struct tmx_replica *r = &c->rep;
   struct tmx_check check;
-  struct batch b = {.p = p, .value_max = (size_t)(c->set.value_kb * 1024 * 0.85)};
+  struct batch b = {.p = p, .value_max = tmx_value_room(&c->set)};
   char line[TMX_LINE_MAX];
   double budget = tmx_link_budget(c->link);
   struct tmx_job *finished[TMX_FINISHED_MAX];
--- a/src/state/fold.c
+++ b/src/state/fold.c
@@ -99,24 +99,26 @@
   struct tmx_ctl *c = f->c;
   struct tmx_txn t = {0};
   struct tmx_buf list = {0}, jobs = {0}, one = {0}, v = {0};
-  size_t max = (size_t)(c->set.value_kb * 1024 * 0.85), n = 0, n_jobs = 0;
+  size_t max = tmx_value_room(&c->set), n = 0, n_jobs = 0, len = 0, all = 0;
   int puts = (int)tmx_link_budget(c->link);
   char line[TMX_LINE_MAX], key[TMX_KEY_MAX + 1];
   struct place at = f->at, before = at;
   if (puts > c->set.txn_ops) puts = c->set.txn_ops;
   bool more = true;
   tmx_txn_if(&t, TMX_K_HEAD, c->rep.head);
-  while (more && t.n_ops < puts && t.ops.n + max < TMX_TXN_BYTES) {
-    list.n = jobs.n = n = n_jobs = 0;
+  while (more && t.n_ops < puts && all + max + TMX_JSON_FRAME < TMX_TXN_BYTES) {
+    list.n = jobs.n = n = n_jobs = len = 0;
     for (;;) {
       before = at;
       one.n = 0;
       more = next_line(f, &at, line, sizeof line, &one);
       if (!more) break;
-      if (list.n + jobs.n + one.n + (one.n ? 0 : strlen(line) + 3) > max) {
+      size_t next = one.n ? tmx_json_len(&one) : tmx_json_text(line, strlen(line)) + 1;
+      if (len + next > max) {
         at = before; /* it begins the next page */
         break;
       }
+      len += next;
       if (one.n) {
         tmx_buf_add(&jobs, one.p, one.n);
         n_jobs++;
@@ -126,6 +128,7 @@
       }
     }
     if (!n && !n_jobs) break;
+    all += len + TMX_JSON_FRAME;
     v.n = 0;
     tmx_lines_encode(&v, &jobs, n_jobs, &list, n);
     snprintf(key, sizeof key, TMX_K_PAGE "%016llx/%05u", (unsigned long long)f->mark, f->page++);
--- a/src/user/user.c
+++ b/src/user/user.c
@@ -235,7 +235,7 @@
   struct tmx_buf v = {0};
   if (!a) abort();
   tmx_job_encode(&v, id, &spec, tmx_wall(), TMX_OPEN);
-  if (v.n > c->set.value_kb * 800) {
+  if (tmx_json_len(&v) > tmx_value_room(&c->set)) {
     tmx_buf_free(&v);
     free(a);
     tmx_req_reply(q, 400, NULL, 0);
--- a/src/worker/health.c
+++ b/src/worker/health.c
@@ -121,6 +121,23 @@
   z->alive += now - fmax(r->heard_at, r->reached_at) < TMX_ALIVE_S;
 }
 
+/* In TMX_ALIVE_S only some of those that live can give a sign, as they are asked in turn: what was
+ * heard stands for so many. */
+static void extrapolate(struct tmx_workers *w, double rate) {
+  const struct tmx_settings *s = &w->c->set;
+  double lost = 0, others = 0;
+  for (size_t z = 0; z < s->n_zones; z++) {
+    lost += w->zones[z].lost;
+    others += w->zones[z].machines - w->zones[z].lost;
+  }
+  if (lost > 0) rate *= 1 - TMX_SUSPECTS_SHARE;
+  double heard = fmin(1, TMX_ALIVE_S * (rate / fmax(others, 1) + 1 / s->report_s));
+  for (size_t z = 0; z < s->n_zones; z++) {
+    struct tmx_zone_signs *g = &w->zones[z];
+    g->alive = (unsigned)fmin(g->alive / heard, g->machines - g->lost);
+  }
+}
+
 void tmx_workers_tick(struct tmx_workers *w) {
   struct tmx_ctl *c = w->c;
   double now = tmx_now(), rate = probe_rate(c);
@@ -158,6 +175,7 @@
       if (usable) tmx_rounds_kick(c);
     }
   }
+  extrapolate(w, rate);
   if (member) {
     double keep = w->probe_tokens * (1 - TMX_SUSPECTS_SHARE);
     double period = fmax(TMX_PROBE_AFTER_S, reach.owned / rate);
--- a/tests/fake.c
+++ b/tests/fake.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <http_parser.h>
+#include <jansson.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <stdio.h>
@@ -159,12 +160,58 @@
   free(out);
 }
 
+/* The length of a value as the real service counts it. */
+static json_t *as_json(const cbor_item_t *it) {
+  char text[4096];
+  uint64_t u;
+  double num;
+  bool yes;
+  if (tmx_r_str(it, text, sizeof text)) return json_string(text);
+  if (tmx_r_u64(it, &u)) return json_integer((json_int_t)u);
+  if (tmx_r_num(it, &num)) return json_real(num);
+  if (tmx_r_bool(it, &yes)) return json_boolean(yes);
+  if (cbor_isa_array(it)) {
+    json_t *a = json_array();
+    for (size_t i = 0; i < tmx_r_len(it); i++) json_array_append_new(a, as_json(tmx_r_at(it, i)));
+    return a;
+  }
+  if (!cbor_isa_map(it)) return json_null();
+  json_t *o = json_object();
+  for (size_t i = 0; i < cbor_map_size(it); i++)
+    if (tmx_r_str(cbor_map_handle(it)[i].key, text, sizeof text))
+      json_object_set_new(o, text, as_json(cbor_map_handle(it)[i].value));
+  return o;
+}
+static size_t json_size(const cbor_item_t *it) {
+  json_t *j = as_json(it);
+  char *text = json_dumps(j, JSON_COMPACT | JSON_ENCODE_ANY);
+  assert_non_null(text);
+  size_t n = strlen(text);
+  free(text);
+  json_decref(j);
+  return n;
+}
+
+static bool too_large(const cbor_item_t *then) {
+  for (size_t i = 0; state.value_max && i < tmx_r_len(then); i++) {
+    const cbor_item_t *v = tmx_r_get(tmx_r_at(then, i), W_VALUE);
+    if (v && json_size(v) > state.value_max) return true;
+  }
+  return false;
+}
+
 static void txn(struct fake_door *d, struct tmx_req *q) {
   cbor_item_t *m = tmx_cbor_parse(q->body, q->body_len);
   const cbor_item_t *cond = tmx_r_get(m, W_IF), *then = tmx_r_get(m, W_THEN);
   char key[TMX_KEY_MAX + 1];
   bool lose = false;
   assert_non_null(m);
+  if (too_large(then)) {
+    state.too_large++;
+    tmx_cbor_free(m);
+    tmx_req_reply(q, 400, NULL, 0);
+    return;
+  }
   for (size_t i = 0; i < tmx_r_len(cond); i++) {
     uint64_t want = 0;
     assert_true(tmx_r_kstr(tmx_r_at(cond, i), W_KEY, key, sizeof key));
@@ -505,23 +552,28 @@
   return a;
 }
 
+void submission(struct tmx_buf *b, const char *id, const char *kind, uint32_t tasks, double cpus,
+                const char *team) {
+  tmx_w_map(b, 13);
+  tmx_w_kstr(b, W_ID, id);
+  tmx_w_kstr(b, W_CLASS, "c");
+  tmx_w_kstr(b, W_TEAM, team);
+  tmx_w_kstr(b, W_KIND, kind);
+  tmx_w_kstr(b, W_PRIORITY, "normal");
+  tmx_w_ku64(b, W_TASKS, tasks);
+  tmx_w_knum(b, W_CPUS, cpus);
+  tmx_w_knum(b, W_MEM, 1);
+  tmx_w_kstr(b, W_IMAGE, "img");
+  tmx_w_knum(b, W_IMAGE_GB, 0.1);
+  tmx_w_knum(b, W_ESTIMATE, 10);
+  tmx_w_knum(b, W_CHECKPOINT, 0);
+  tmx_w_knum(b, W_SAVE, 0);
+}
+
 int submit(struct tmx_ctl *c, const char *id, const char *kind, uint32_t tasks, double cpus,
            const char *team) {
   struct tmx_buf b = {0};
-  tmx_w_map(&b, 13);
-  tmx_w_kstr(&b, W_ID, id);
-  tmx_w_kstr(&b, W_CLASS, "c");
-  tmx_w_kstr(&b, W_TEAM, team);
-  tmx_w_kstr(&b, W_KIND, kind);
-  tmx_w_kstr(&b, W_PRIORITY, "normal");
-  tmx_w_ku64(&b, W_TASKS, tasks);
-  tmx_w_knum(&b, W_CPUS, cpus);
-  tmx_w_knum(&b, W_MEM, 1);
-  tmx_w_kstr(&b, W_IMAGE, "img");
-  tmx_w_knum(&b, W_IMAGE_GB, 0.1);
-  tmx_w_knum(&b, W_ESTIMATE, 10);
-  tmx_w_knum(&b, W_CHECKPOINT, 0);
-  tmx_w_knum(&b, W_SAVE, 0);
+  submission(&b, id, kind, tasks, cpus, team);
   struct fake_answer a = call(c, "POST", WP_JOBS, &b);
   tmx_buf_free(&b);
   return a.status;
--- a/tests/fake.h
+++ b/tests/fake.h
@@ -45,6 +45,8 @@
   size_t n_w;
   uint64_t rev, leases;
   unsigned commits, conflicts;
+  size_t value_max; /* bytes as JSON; 0: no limit */
+  unsigned too_large;
   struct fake_door doors[4];
 };
 struct fake_cloud {
@@ -107,6 +109,8 @@
 void worker_set(struct fake_worker *w, const char *task, uint32_t attempt, const char *st,
                 const char *why);
 
+void submission(struct tmx_buf *b, const char *id, const char *kind, uint32_t tasks, double cpus,
+                const char *team);
 int submit(struct tmx_ctl *c, const char *id, const char *kind, uint32_t tasks, double cpus,
            const char *team);
 struct fake_answer call(struct tmx_ctl *c, const char *method, const char *path,
--- a/tests/test_rules.c
+++ b/tests/test_rules.c
@@ -776,6 +776,42 @@
   tmx_server_free(s);
 }
 
+/* Many submissions at once go into values as large as the state service takes. It counts them as
+ * JSON, in which numbers are several times as long: a batch that it refuses for its size would come
+ * again and again, and hold the whole log up. Pages of a fold hold the same. */
+static void many_submissions_in_small_values(void **st) {
+  (void)st;
+  enum { MANY = 150 };
+  static int status[MANY];
+  struct tmx_client *c[MANY];
+  char addr[32], id[32];
+  a->set.value_kb = 4;
+  state.value_max = 4096;
+  tmx_fold_above(a->fold, 3);
+  snprintf(addr, sizeof addr, "127.0.0.1:%d", tmx_server_port(a->server));
+  for (int i = 0; i < MANY; i++) {
+    struct tmx_buf b = {0};
+    snprintf(id, sizeof id, "wk-%06d", i);
+    submission(&b, id, "batch", 3, 1.0 / 3, "t");
+    c[i] = tmx_client_new(loop, addr, 1);
+    status[i] = -2;
+    assert_true(tmx_client_call(c[i], "POST", WP_JOBS, &b, 5, on_status, &status[i]));
+    tmx_buf_free(&b);
+  }
+  for (int i = 0, busy = 1; i < 400 && busy; i++) {
+    pump_for(0.01);
+    busy = 0;
+    for (int k = 0; k < MANY; k++) busy += status[k] == -2;
+  }
+  for (int i = 0; i < MANY; i++) {
+    assert_int_equal(status[i], 201);
+    tmx_client_free(c[i]);
+  }
+  for (int i = 0; i < 400 && !fake_get(TMX_K_FOLD); i++) pump_for(0.02);
+  assert_non_null(fake_get(TMX_K_FOLD));
+  assert_int_equal(state.too_large, 0);
+}
+
 int main(void) {
   const struct CMUnitTest t[] = {
       cmocka_unit_test_setup_teardown(a_task_from_start_to_end, setup, teardown),
@@ -806,6 +842,7 @@
       cmocka_unit_test_setup_teardown(answers_to_submissions, setup, teardown),
       cmocka_unit_test_setup_teardown(hostile_connections, setup, teardown),
       cmocka_unit_test_setup_teardown(idle_connections_make_room, setup, teardown),
+      cmocka_unit_test_setup_teardown(many_submissions_in_small_values, setup, teardown),
   };
   setenv("LOG_LEVEL", "error", 0);
   tmx_log_init("test");
