--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -4,22 +4,23 @@
 #define TMX_CONSTANTS_H
 
 /* --- limits of messages and tables (bytes, counts) --- */
-#define TMX_BODY_MAX 65536         /* bytes; PROTOCOL's limit for requests */
-#define TMX_REPLY_MAX (24u << 20)  /* bytes; a watch has no size limit, memory has */
-#define TMX_CBOR_DEPTH 16          /* levels; no message of PROTOCOL nests deeper than 5 */
-#define TMX_PATH_MAX 512           /* bytes; a state key has at most 200 */
-#define TMX_NAME_MAX 64            /* bytes; names of nodes, zones, teams, images */
-#define TMX_ID_MAX 32              /* bytes; job ids and machine names */
-#define TMX_TASKS_MAX 100000       /* tasks of one job; PROTOCOL's limit */
-#define TMX_ZONES_MAX 16           /* zones; a counter a zone and job is kept */
-#define TMX_TYPES_MAX 32           /* machine types in the catalog; more are ignored */
-#define TMX_MEMBERS_MAX 16         /* controllers in one view */
-#define TMX_OWN_SOCKETS 120   /* state, cloud, peers at both ends, listening; at most half of all */
-#define TMX_WORKER_CONNS 0.23 /* of the other sockets: kept to workers; incoming ones have the rest */
+#define TMX_BODY_MAX 65536        /* bytes; PROTOCOL's limit for requests */
+#define TMX_REPLY_MAX (24u << 20) /* bytes; a watch has no size limit, memory has */
+#define TMX_CBOR_DEPTH 16         /* levels; no message of PROTOCOL nests deeper than 5 */
+#define TMX_PATH_MAX 512          /* bytes; a state key has at most 200 */
+#define TMX_NAME_MAX 64           /* bytes; names of nodes, zones, teams, images */
+#define TMX_ID_MAX 32             /* bytes; job ids and machine names */
+#define TMX_TASKS_MAX 100000      /* tasks of one job; PROTOCOL's limit */
+#define TMX_ZONES_MAX 16          /* zones; a counter a zone and job is kept */
+#define TMX_TYPES_MAX 32          /* machine types in the catalog; more are ignored */
+#define TMX_MEMBERS_MAX 16        /* controllers in one view */
+#define TMX_OWN_SOCKETS 120 /* state, cloud, peers at both ends, listening; at most half of all */
+#define TMX_WORKER_CONNS \
+  0.23 /* of the other sockets: kept to workers; incoming ones have the rest */
 #define TMX_IDLE_CLOSE_S 60.0 /* s; an unused incoming connection is given up ... */
 #define TMX_IDLE_REPORTS 4.0  /* ... but not before a worker would have reported so often */
 #define TMX_IDLE_LEAST_S 1.0  /* s; when all are taken, one unused for so long makes room */
-#define TMX_PARTIAL_S 15.0         /* s; a request must arrive whole in this time */
+#define TMX_PARTIAL_S 15.0    /* s; a request must arrive whole in this time */
 
 /* --- state service (s unless said) --- */
 #define TMX_PUT_BURST_S                                                                      \
@@ -38,7 +39,7 @@
 #define TMX_DIRECT_TRIES 4    /* that lost against a batch: then it goes with the next one */
 #define TMX_LEASE_TTL_MS 6000 /* ms; refused peers are noticed sooner by heartbeats */
 #define TMX_LEASE_RENEW_S 1.2 /* five tries a lease */
-#define TMX_STATE_SLOW_S 0.05   /* an answer that takes longer is one of those */
+#define TMX_STATE_SLOW_S 0.05 /* an answer that takes longer is one of those */
 #define TMX_STATE_TIMEOUT_S 2.0 /* answers take 10 ms, at times a few hundred */
 #define TMX_WATCH_WAIT_MS 15000 /* ms; long, since an idle watch costs nothing */
 #define TMX_WATCH_SHARE 0.45    /* of the request rate, for opening watches */
@@ -50,7 +51,7 @@
 #define TMX_TXN_BYTES 49152     /* bytes; PROTOCOL allows 64 KiB, counted as JSON */
 #define TMX_VALUE_SHARE 0.9     /* of the largest value, counted as JSON: what is used of it */
 #define TMX_JSON_FRAME 64       /* bytes; what stands round a list, a value or a condition */
-#define TMX_FRESH_MARGIN_S                                                                   \
+#define TMX_FRESH_MARGIN_S                                                                    \
   1.0 /* taken off cancel_s - lease_s: a lease counts from when the report was sent, which is \
          before it is answered, so only clocks that drift by 0.05% are left to allow for */
 #define TMX_FOLD_KEYS                                                                          \
@@ -97,10 +98,10 @@
 /* --- workers (s) --- */
 #define TMX_BUMP_BITS 24 /* of a token, below the term: bumps of one machine */
 #define TMX_BUMP_MAX ((1u << TMX_BUMP_BITS) - 1)
-#define TMX_COMMAND_TIMEOUT_S 1.5  /* unanswered after this: bump the token */
-#define TMX_WORKERS_MAX 8192       /* machines known at a time */
-#define TMX_GONE_KEPT 8192         /* names of machines that are gone, for late copies of reports */
-#define TMX_ORDERS_MAX 400         /* orders in one answer */
+#define TMX_COMMAND_TIMEOUT_S 1.5 /* unanswered after this: bump the token */
+#define TMX_WORKERS_MAX 8192      /* machines known at a time */
+#define TMX_GONE_KEPT 8192        /* names of machines that are gone, for late copies of reports */
+#define TMX_ORDERS_MAX 400        /* orders in one answer */
 #define TMX_TAKE_AFTER_S                                                                          \
   3.5                            /* a worker that is back this long after being sent to its owner \
                                     cannot reach it (it waits 4 s for an answer): take it over */
@@ -117,16 +118,16 @@
 #define TMX_ZONE_CUT_S 4.0       /* a zone counts as cut off for this long after the last sign */
 #define TMX_PROBES_LOST 3        /* in a row: the machine is given up */
 #define TMX_SILENT_S 1.5         /* ... if it gave no other sign for this long */
-#define TMX_ALIVE_S 1.2          /* a sign of life this young: shorter than it takes to lose a machine */
-#define TMX_SUSPECTS_SHARE 0.6   /* of the probes, for those in doubt: the others are asked on */
-#define TMX_PROBE_DOUBLINGS 3    /* a machine that stays lost is asked ever less often, up to here */
-#define TMX_BACK_LEASES 0.2      /* of a lease: so long may one that is heard again be unreached */
-#define TMX_REACH_LEAST 4        /* machines: fewer say nothing of a controller's own trouble */
-#define TMX_SWEEP_S 0.25         /* machines are looked through this often */
-#define TMX_SETTLE_S 3.0         /* a new leader first hears its peers and the workers */
-#define TMX_SICK_ERRORS 4        /* errors in a row from two jobs or more: a faulty machine */
-#define TMX_RETRY_BASE_S 0.5     /* backoff of a job whose tasks fail: doubles a failure */
-#define TMX_RETRY_MAX_S 30.0     /* and ends here */
+#define TMX_ALIVE_S 1.2 /* a sign of life this young: shorter than it takes to lose a machine */
+#define TMX_SUSPECTS_SHARE 0.6 /* of the probes, for those in doubt: the others are asked on */
+#define TMX_PROBE_DOUBLINGS 3  /* a machine that stays lost is asked ever less often, up to here */
+#define TMX_BACK_LEASES 0.2    /* of a lease: so long may one that is heard again be unreached */
+#define TMX_REACH_LEAST 4      /* machines: fewer say nothing of a controller's own trouble */
+#define TMX_SWEEP_S 0.25       /* machines are looked through this often */
+#define TMX_SETTLE_S 3.0       /* a new leader first hears its peers and the workers */
+#define TMX_SICK_ERRORS 4      /* errors in a row from two jobs or more: a faulty machine */
+#define TMX_RETRY_BASE_S 0.5   /* backoff of a job whose tasks fail: doubles a failure */
+#define TMX_RETRY_MAX_S 30.0   /* and ends here */
 
 /* --- peers (s) --- */
 #define TMX_BEAT_S 0.4        /* heartbeat period */
@@ -165,12 +166,12 @@
                           */
 #define TMX_CLEAR_S 10.0 /* a backlog that is cleared in this time needs no new machines */
 #define TMX_WAITING_SHARE \
-  0.02                       /* of the CPUs rented: less that waits is no reason to keep machines */
-#define TMX_DRAIN_HELD 0.15  /* of all CPUs on machines that wait for replicas to leave them */
-#define TMX_HIRE_MAX 50      /* machines; PROTOCOL's limit of one request */
+  0.02                      /* of the CPUs rented: less that waits is no reason to keep machines */
+#define TMX_DRAIN_HELD 0.15 /* of all CPUs on machines that wait for replicas to leave them */
+#define TMX_HIRE_MAX 50     /* machines; PROTOCOL's limit of one request */
 #define TMX_HIRE_OFFER_MAX 150 /* machines asked of one type, zone and kind in one weighing */
-#define TMX_HIRES_ROUND 1024 /* machines rented in one weighing */
-#define TMX_DELETE_MAX 100   /* machines; PROTOCOL's limit of one request */
+#define TMX_HIRES_ROUND 1024   /* machines rented in one weighing */
+#define TMX_DELETE_MAX 100     /* machines; PROTOCOL's limit of one request */
 #define TMX_UNREACHED_LEASES \
   0.5                          /* of a lease: a machine that is heard and not reached is replaced */
 #define TMX_NEVER_HEARD_S 25.0 /* listed as running and silent for this long, and two reports */
--- /dev/null
+++ b/src/cloud/returns.c
@@ -0,0 +1,322 @@
+/* Giving machines up that are dead, and returning those that are not needed: by the leader. */
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cloud/cloud.h"
+#include "net/log.h"
+#include "tmx/wire.h"
+
+struct delete_call {
+  struct tmx_cloud *k;
+  char ids[TMX_DELETE_MAX][TMX_ID_MAX];
+  size_t n;
+};
+
+/* Deleted machines are gone, with all that was on them: that is the proof to record. */
+static void on_deleted(void *arg, int status, const uint8_t *body, size_t len) {
+  struct delete_call *d = arg;
+  struct tmx_cloud *k = d->k;
+  (void)body;
+  (void)len;
+  k->delete_busy = false;
+  if (status == 200) {
+    for (size_t i = 0; i < d->n; i++) {
+      char line[TMX_LINE_MAX];
+      /* lists lag: it stays marked until none has shown it for long, and is not deleted again */
+      tmx_cloud_listed(k, d->ids[i])->deleting = true;
+      if (!tmx_machine_find(&k->c->rep, d->ids[i])) continue;
+      snprintf(line, sizeof line, "%c %s", TMX_LINE_GONE, d->ids[i]);
+      tmx_rounds_line(k->c->rounds, line);
+    }
+  } else {
+    for (size_t i = 0; i < d->n; i++) {
+      struct listed *l;
+      HASH_FIND_STR(k->listed, d->ids[i], l);
+      if (l) l->deleting = false;
+    }
+  }
+  free(d);
+}
+
+/* A machine marked so gets no new work, and is returned when it is empty. */
+static void drain(struct tmx_cloud *k, struct tmx_machine *m, bool on) {
+  char line[TMX_LINE_MAX];
+  snprintf(line, sizeof line, "%c %s %d", TMX_LINE_DRAIN, m->id, on);
+  tmx_log(TMX_INFO, "cloud: %s is %s needed", m->id, on ? "no longer" : "again");
+  tmx_rounds_line(k->c->rounds, line);
+}
+
+/* The most room that was in use or asked for within the last TMX_PEAK_S. */
+static double peak_booked(struct tmx_cloud *k, double now, double booked) {
+  int sec = (int)now;
+  if (sec - k->booked_at > TMX_PEAK_S) {
+    for (int i = 0; i < TMX_PEAK_S; i++) k->booked[i] = 0;
+    k->booked_at = sec;
+  }
+  while (k->booked_at < sec) k->booked[++k->booked_at % TMX_PEAK_S] = 0;
+  double *b = &k->booked[sec % TMX_PEAK_S], most = 0;
+  *b = fmax(*b, booked);
+  for (int i = 0; i < TMX_PEAK_S; i++) most = fmax(most, k->booked[i]);
+  return most;
+}
+
+struct choice {
+  struct tmx_machine *m;
+  double v;
+};
+static int dearest(const void *a, const void *b) {
+  const struct choice *x = a, *y = b;
+  return x->v == y->v ? strcmp(x->m->id, y->m->id) : x->v > y->v ? -1 : 1;
+}
+
+/* CPUs of the services on a machine. */
+static double services_on(const struct tmx_machine *m) {
+  double cpus = 0;
+  for (const struct tmx_task *t = m->tasks; t; t = t->next)
+    if (t->job->spec.service) cpus += t->job->spec.cpus;
+  return cpus;
+}
+
+/* Returns the dearest machines that the peak of the last while would not have needed, a few at a
+ * time. Their arrays run to their end; their replicas move, so room for them must be free in the
+ * same zone. */
+static void shrink(struct tmx_cloud *k, double booked, bool waiting) {
+  struct tmx_ctl *c = k->c;
+  struct tmx_replica *r = &c->rep;
+  double now = tmx_now(), peak = peak_booked(k, now, booked), have = 0;
+  double zone_free[TMX_ZONES_MAX] = {0};
+  struct tmx_machine *m, *mt;
+  size_t n = 0, known = 0;
+  double draining = 0, returning = 0;
+  if (now - k->led_since < TMX_PEAK_S || now - k->drain_at < TMX_DRAIN_SPACING_S) return;
+  k->drain_at = now;
+  HASH_ITER(hh, r->machines, m, mt) {
+    const struct tmx_type *t = tmx_cloud_type(k, m->type);
+    if (!m->known || !t) continue;
+    known++;
+    if (m->drain) {
+      /* work waits: what is about to be returned is nearer than anything that must boot */
+      if (waiting && m->tasks && !(m->errors >= TMX_SICK_ERRORS && m->error_two))
+        drain(k, m, false);
+      else if (services_on(m) > 0) /* arrays that run out hold up nothing else */
+        draining += t->cpus;
+      continue;
+    }
+    have += t->cpus;
+    if (m->zone >= 0 && !m->spot) zone_free[m->zone] += t->cpus - m->cpus;
+  }
+  double step = TMX_DRAIN_SHARE * have;
+  /* the more machines, the less a chance arrival is beside the rest */
+  double over = fmin(TMX_ROOM_OVER_PEAK, 1 / sqrt(fmax(known, 1)));
+  double after = fmin(TMX_ROOM_AFTER, 2 * over);
+  if (waiting) return;
+  struct choice *v = calloc(known + 1, sizeof *v);
+  if (!v) abort();
+  HASH_ITER(hh, r->machines, m, mt) {
+    const struct tmx_type *t = tmx_cloud_type(k, m->type);
+    if (!m->known || !t || m->drain || m->zone < 0) continue;
+    double services = services_on(m);
+    double spare = zone_free[m->zone] - (t->cpus - m->cpus);
+    if (services > 0 && spare < TMX_ROOM_TO_MOVE * services + after * peak / (double)c->set.n_zones)
+      continue;
+    /* price of a CPU, less for work under way and for replicas that must move */
+    v[n++] = (struct choice){m, (m->spot ? t->spot_price : t->price) / t->cpus *
+                                    (1.2 - m->cpus / t->cpus) * (1 - 0.8 * services / t->cpus)};
+  }
+  qsort(v, n, sizeof *v, dearest);
+  /* Machines with replicas go a few at a time: every one of them is a restart for somebody. */
+  for (size_t i = 0; i < n && returning < step; i++) {
+    struct tmx_machine *x = v[i].m;
+    double cpus = tmx_cloud_type(k, x->type)->cpus;
+    bool holds = services_on(x) > 0;
+    if (have - cpus < peak * (1 + over)) continue;
+    if (holds && draining > 0 && draining + cpus > TMX_DRAIN_HELD * have) continue;
+    if (holds) draining += cpus;
+    have -= cpus;
+    returning += cpus;
+    drain(k, x, true);
+  }
+  free(v);
+}
+
+/* What an operator wants to see over a day: what is rented and what of it is used. */
+void tmx_cloud_log_use(struct tmx_cloud *k, double now) {
+  double cpus[2] = {0, 0}, booked[2] = {0, 0}, drain = 0, services = 0, waiting = 0;
+  size_t n = 0, unusable = 0;
+  struct tmx_machine *m, *mt;
+  struct tmx_job *j, *jt;
+  if (!tmx_log_on(TMX_INFO) || now - k->use_at < TMX_USE_LOG_S) return;
+  k->use_at = now;
+  HASH_ITER(hh, k->c->rep.machines, m, mt) {
+    const struct tmx_type *t = tmx_cloud_type(k, m->type);
+    if (!m->known || !t) continue;
+    n++;
+    unusable += !m->usable;
+    cpus[m->spot] += t->cpus;
+    booked[m->spot] += m->cpus;
+    if (m->drain) drain += t->cpus;
+    services += services_on(m);
+  }
+  HASH_ITER(hh, k->c->rep.jobs, j, jt)
+  if (!j->fin) waiting += (j->spec.tasks - j->n_done - j->n_placed) * j->spec.cpus;
+  tmx_log(
+      TMX_INFO,
+      "use: %zu machines (%zu not usable), CPUs booked %.0f of %.0f, spot %.0f of %.0f, services "
+      "%.0f, being returned %.0f, waiting %.0f",
+      n, unusable, booked[0], cpus[0], booked[1], cpus[1], services, drain, waiting);
+}
+
+void tmx_cloud_sweep(struct tmx_cloud *k) {
+  struct tmx_ctl *c = k->c;
+  struct tmx_replica *r = &c->rep;
+  double now = tmx_now();
+  if (k->delete_busy) return;
+  struct delete_call *d = calloc(1, sizeof *d);
+  if (!d) abort();
+  d->k = k;
+  size_t max = TMX_DELETE_MAX;
+  double silent = c->set.op.silent_s > 0 ? c->set.op.silent_s : TMX_SILENT_S;
+  bool settled = now - k->led_since > TMX_SETTLE_S;
+  struct tmx_job *j, *jt;
+  double asked = 0;
+  HASH_ITER(hh, r->jobs, j, jt) {
+    if (j->fin || j->spec.tasks <= j->n_done + j->n_placed) continue;
+    asked += (j->spec.tasks - j->n_done - j->n_placed) * j->spec.cpus;
+  }
+  struct tmx_machine *m, *mt;
+  struct tmx_zone_signs signs[TMX_ZONES_MAX] = {{0}};
+  double room = 0, services = 0, booked = 0;
+  bool heard[TMX_MEMBERS_MAX];
+  for (size_t i = 0; i < r->view.n_members; i++) {
+    const char *n = r->view.members[i].name;
+    bool self = !strcmp(n, c->set.node);
+    heard[i] =
+        self ? !tmx_ctl_no_workers(c)
+             : tmx_peers_silence(c->peers, n) < TMX_BEAT_DEAD_S && !tmx_peers_cut(c->peers, n);
+    const struct tmx_zone_signs *said =
+        self ? tmx_workers_zones(c->workers) : tmx_peers_zones(c->peers, n);
+    for (size_t z = 0; heard[i] && said && z < c->set.n_zones; z++) {
+      signs[z].machines += said[z].machines;
+      signs[z].lost += said[z].lost;
+      signs[z].alive += said[z].alive;
+    }
+  }
+  HASH_ITER(hh, r->machines, m, mt) {
+    if (!m->known) continue;
+    const struct tmx_type *t = tmx_cloud_type(k, m->type);
+    if (t && !m->drain) room += t->cpus - m->cpus;
+    booked += m->cpus;
+    services += services_on(m);
+  }
+  /* among thousands of tasks some always wait for a moment */
+  bool waiting = asked > TMX_WAITING_SHARE * (room + booked);
+  /* A zone that is silent as a whole is cut off from us, or we from it, and its work may go on.
+   * Machines that died show as failed in the list soon; the others come back with what they have,
+   * and what they hold could hardly run elsewhere. So nothing of it is given up for silence before
+   * all its work must be gone, and a lease more. */
+  bool cut = false;
+  for (size_t z = 0; z < c->set.n_zones; z++) {
+    if (tmx_zone_seems_cut(&signs[z])) k->cut_until[z] = now + TMX_ZONE_CUT_S;
+    cut |= k->cut_until[z] > now;
+  }
+  double given_up = c->set.cancel_s + c->set.lease_s;
+  HASH_ITER(hh, r->machines, m, mt) {
+    if (!m->known || d->n == max) continue;
+    struct listed *l;
+    HASH_FIND_STR(k->listed, m->id, l);
+    const struct tmx_type *t = tmx_cloud_type(k, m->type);
+    struct tmx_suspect x = {.silence = 0};
+    /* its owner's word, if that reaches its other machines */
+    bool doubt = m->owner >= 0 && heard[m->owner] && tmx_workers_suspect(c->workers, m, &x);
+    bool lost = doubt && x.lost >= TMX_PROBES_LOST;
+    const char *why = NULL;
+    if (l && l->state == LS_FAILED)
+      why = "failed";
+    else if (settled && lost && x.silence > silent &&
+             (m->zone < 0 || now > k->cut_until[m->zone] || x.silence > given_up))
+      why = "silent";
+    else if (settled && doubt && now > k->cut_until[m->zone < 0 ? 0 : m->zone] &&
+             x.silence < c->set.report_s * 1.25 + TMX_REPORT_LATE_S &&
+             x.unreached > c->set.lease_s * TMX_UNREACHED_LEASES)
+      why = "heard, and not reached";
+    else if (m->drain && !m->tasks)
+      why = "drained";
+    else if (m->errors >= TMX_SICK_ERRORS && m->error_two && !m->tasks)
+      why = "faulty";
+    if (why) {
+      tmx_log(TMX_INFO, "cloud: deleting %s: %s", m->id, why);
+      snprintf(d->ids[d->n++], TMX_ID_MAX, "%s", m->id);
+      continue;
+    }
+    struct empty *e;
+    HASH_FIND_STR(k->empties, m->id, e);
+    if (!e) {
+      e = calloc(1, sizeof *e);
+      if (!e) abort();
+      snprintf(e->id, sizeof e->id, "%s", m->id);
+      e->since = now;
+      HASH_ADD_STR(k->empties, id, e);
+    }
+    e->pass = k->pass;
+    if (m->tasks || waiting || cut) e->since = now;
+    if (t && !m->drain && !m->tasks && now - e->since > c->set.op.idle_return_s &&
+        room - t->cpus > services * c->set.op.headroom) {
+      room -= t->cpus;
+      drain(k, m, true);
+      e->since = now;
+    }
+  }
+  /* what is out of reach is no room: nothing else is returned for it */
+  shrink(k, booked + asked, waiting || cut);
+  struct empty *e, *et;
+  HASH_ITER(hh, k->empties, e, et) {
+    if (tmx_machine_find(r, e->id)) continue;
+    HASH_DEL(k->empties, e);
+    free(e);
+  }
+  struct listed *l, *lt;
+  HASH_ITER(hh, k->listed, l, lt) {
+    if (d->n == max || l->deleting) continue;
+    if (!l->type[0]) continue;
+    m = tmx_machine_find(r, l->id);
+    if (m && m->known) {
+      l->unheard_since = 0;
+      continue;
+    }
+    const struct tmx_type *t = tmx_cloud_type(k, l->type);
+    double age = fmax(l->held + (now - l->at), l->rented_at ? now - l->rented_at : 0);
+    const char *why = NULL;
+    if (l->state == LS_FAILED)
+      why = "failed";
+    else if (l->state == LS_BOOTING && t && age > t->boot_s * TMX_BOOT_LATE + 10)
+      why = "boots too long";
+    else if (l->state == LS_RUNNING) {
+      if (!l->unheard_since) l->unheard_since = now;
+      if (settled && now - l->unheard_since > TMX_NEVER_HEARD_S + 2 * c->set.report_s)
+        why = "never heard";
+    }
+    if (!why) continue;
+    tmx_log(TMX_INFO, "cloud: deleting %s: %s", l->id, why);
+    l->deleting = true;
+    snprintf(d->ids[d->n++], TMX_ID_MAX, "%s", l->id);
+  }
+  if (d->n && tmx_cloud_may_call(k)) {
+    struct tmx_buf b = {0};
+    tmx_w_map(&b, 1);
+    tmx_w_str(&b, W_MACHINES);
+    tmx_w_list(&b, d->n);
+    for (size_t i = 0; i < d->n; i++) tmx_w_str(&b, d->ids[i]);
+    k->delete_busy =
+        tmx_client_call(k->http, "POST", WP_DELETE, &b, TMX_CLOUD_TIMEOUT_S, on_deleted, d);
+    tmx_buf_free(&b);
+  }
+  if (!k->delete_busy) {
+    for (size_t i = 0; i < d->n; i++) {
+      HASH_FIND_STR(k->listed, d->ids[i], l);
+      if (l) l->deleting = false;
+    }
+    free(d);
+  }
+}
--- a/src/controller.c
+++ b/src/controller.c
@@ -290,9 +290,8 @@
     snprintf(err, cap, "settings: peer_listen: %s cannot be listened on", s->peer_listen);
     return NULL;
   }
-  c->server =
-      tmx_server_new(loop, s->listen, tmx_sockets_in(s),
-                     fmax(TMX_IDLE_CLOSE_S, TMX_IDLE_REPORTS * s->report_s), on_request, c);
+  c->server = tmx_server_new(loop, s->listen, tmx_sockets_in(s),
+                             fmax(TMX_IDLE_CLOSE_S, TMX_IDLE_REPORTS * s->report_s), on_request, c);
   if (!c->server) {
     snprintf(err, cap, "settings: listen: %s cannot be listened on", s->listen);
     return NULL;
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -50,7 +50,7 @@
 };
 enum { OWN, ANY, SOON, VICTIMS, SETS }; /* the first three in this order: see place */
 #define SHAPES 48
-#define SECOND 1.0     /* added to the measure of a machine of the kind that comes second */
+#define SECOND 1.0    /* added to the measure of a machine of the kind that comes second */
 #define COLD 10.0     /* added to the measure of a machine where a fetch would make it late */
 #define AVOIDED 100.0 /* ... where the job failed lately */
 
@@ -175,8 +175,8 @@
 }
 
 /* Spot machines are taken back, and what runs there is lost. A task that could not make that good
- * before its job's next aim goes elsewhere if there is room; the others leave that room to it, and to
- * services. */
+ * before its job's next aim goes elsewhere if there is room; the others leave that room to it, and
+ * to services. */
 static bool second_choice(const struct round *r, const struct pj *j, bool spot) {
   const struct tmx_spec *s = j->r.spec;
   if (s->service || !s->spot) return false;
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -227,9 +227,9 @@
   free(r);
 }
 
-/* All connections are taken: the one that was unused longest makes room. Workers that went to another
- * controller, or were cut off, leave connections behind that nobody will use again; users must not be
- * refused for them. false: all were in use a moment ago. */
+/* All connections are taken: the one that was unused longest makes room. Workers that went to
+ * another controller, or were cut off, leave connections behind that nobody will use again; users
+ * must not be refused for them. false: all were in use a moment ago. */
 static bool make_room(struct tmx_server *s) {
   struct tmx_conn *c;
   DL_FOREACH(s->conns, c) {
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -240,8 +240,7 @@
   const struct tmx_zone_signs *signs = tmx_workers_zones(c->workers);
   tmx_beat_zone zones[TMX_ZONES_MAX];
   for (size_t i = 0; i < c->set.n_zones; i++)
-    zones[i] =
-        (tmx_beat_zone){c->set.zones[i], signs[i].machines, signs[i].lost, signs[i].alive};
+    zones[i] = (tmx_beat_zone){c->set.zones[i], signs[i].machines, signs[i].lost, signs[i].alive};
   tmx_beat b = {.node = c->set.node,
                 .revision = c->rep.rev,
                 .state_age_ms = age > 1e6 ? UINT32_MAX : (u_int)(age * 1000),
--- /dev/null
+++ b/src/state/lines.c
@@ -0,0 +1,229 @@
+/* The forms in which jobs, lines of the log, pages and views are kept in the state service. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "state/replica.h"
+#include "tmx/wire.h"
+
+static const char *prio_names[] = {"idle", "normal", "high", "prod"};
+
+bool tmx_spec_parse(const cbor_item_t *m, struct tmx_spec *s, char *id, size_t id_cap) {
+  char kind[16], prio[16];
+  uint64_t tasks;
+  memset(s, 0, sizeof *s);
+  if (!m || !cbor_isa_map(m)) return false;
+  if (!tmx_r_kstr(m, W_ID, id, id_cap)) return false;
+  if (!tmx_r_kstr(m, W_CLASS, s->class, sizeof s->class) || !s->class[0]) return false;
+  if (!tmx_r_kstr(m, W_TEAM, s->team, sizeof s->team) || !s->team[0]) return false;
+  if (!tmx_r_kstr(m, W_KIND, kind, sizeof kind)) return false;
+  if (!strcmp(kind, WV_SERVICE))
+    s->service = true;
+  else if (strcmp(kind, WV_ARRAY))
+    return false;
+  if (!tmx_r_kstr(m, W_PRIORITY, prio, sizeof prio)) return false;
+  for (s->priority = 0; s->priority < 4; s->priority++)
+    if (!strcmp(prio, prio_names[s->priority])) break;
+  if (s->priority == 4) return false;
+  if (!tmx_r_ku64(m, W_TASKS, &tasks) || tasks < 1 || tasks > TMX_TASKS_MAX) return false;
+  s->tasks = (uint32_t)tasks;
+  if (!tmx_r_knum(m, W_CPUS, &s->cpus) || s->cpus < 0) return false;
+  if (tmx_r_get(m, W_GPUS) && (!tmx_r_knum(m, W_GPUS, &s->gpus) || s->gpus < 0)) return false;
+  if (!tmx_r_knum(m, W_MEM, &s->mem) || s->mem < 0) return false;
+  if (!tmx_r_kstr(m, W_IMAGE, s->image, sizeof s->image) || !s->image[0]) return false;
+  if (!tmx_r_knum(m, W_IMAGE_GB, &s->image_gb) || s->image_gb < 0) return false;
+  const cbor_item_t *ty = tmx_r_get(m, W_TYPES);
+  if (ty) {
+    if (!cbor_isa_array(ty) || !tmx_r_len(ty) || tmx_r_len(ty) > TMX_TYPES_MAX) return false;
+    for (size_t i = 0; i < tmx_r_len(ty); i++)
+      if (!tmx_r_str(tmx_r_at(ty, i), s->types[i], sizeof s->types[i])) return false;
+    s->n_types = tmx_r_len(ty);
+  }
+  if (tmx_r_get(m, W_ZONE) && !tmx_r_kstr(m, W_ZONE, s->zone, sizeof s->zone)) return false;
+  if (tmx_r_get(m, W_ONE_ZONE) && !tmx_r_kbool(m, W_ONE_ZONE, &s->one_zone)) return false;
+  if (tmx_r_get(m, W_SPREAD) && !tmx_r_kbool(m, W_SPREAD, &s->spread)) return false;
+  if (tmx_r_get(m, W_SPOT) && !tmx_r_kbool(m, W_SPOT, &s->spot)) return false;
+  s->deadline_s = -1;
+  if (!tmx_r_knum(m, W_ESTIMATE, &s->estimate_s) || s->estimate_s < 0) return false;
+  if (!tmx_r_knum(m, W_CHECKPOINT, &s->checkpoint_s) || s->checkpoint_s < 0) return false;
+  if (!tmx_r_knum(m, W_SAVE, &s->save_s) || s->save_s < 0) return false;
+  if (tmx_r_get(m, W_DEADLINE) && (!tmx_r_knum(m, W_DEADLINE, &s->deadline_s) || s->deadline_s < 0))
+    return false;
+  return true;
+}
+
+/* Whole numbers take a byte or two, and most are. */
+static void w_short(struct tmx_buf *b, double v) {
+  if (v >= 0 && v < 4e9 && v == (double)(uint64_t)v)
+    tmx_w_u64(b, (uint64_t)v);
+  else
+    tmx_w_num(b, v);
+}
+
+/* A list in a fixed order: values are small, and many jobs may come at once. */
+void tmx_job_encode(struct tmx_buf *b, const char *id, const struct tmx_spec *s, double submitted,
+                    int fin) {
+  tmx_w_list(b, 19);
+  tmx_w_str(b, id);
+  tmx_w_str(b, s->class);
+  tmx_w_str(b, s->team);
+  tmx_w_str(b, s->image);
+  tmx_w_str(b, s->zone);
+  tmx_w_list(b, s->n_types);
+  for (size_t i = 0; i < s->n_types; i++) tmx_w_str(b, s->types[i]);
+  tmx_w_u64(b, (uint64_t)(s->service | s->one_zone << 1 | s->spread << 2 | s->spot << 3));
+  tmx_w_u64(b, (uint64_t)s->priority);
+  tmx_w_u64(b, s->tasks);
+  w_short(b, s->cpus);
+  w_short(b, s->gpus);
+  w_short(b, s->mem);
+  w_short(b, s->image_gb);
+  w_short(b, s->estimate_s);
+  w_short(b, s->checkpoint_s);
+  w_short(b, s->save_s);
+  w_short(b, s->deadline_s);
+  tmx_w_num(b, submitted);
+  tmx_w_u64(b, (uint64_t)fin);
+}
+
+bool tmx_job_decode(const cbor_item_t *l, char *id, size_t cap, struct tmx_spec *s,
+                    double *submitted, uint64_t *fin) {
+  uint64_t flags, prio, tasks;
+  memset(s, 0, sizeof *s);
+  if (tmx_r_len(l) < 19 || !tmx_r_str(tmx_r_at(l, 0), id, cap) ||
+      !tmx_r_str(tmx_r_at(l, 1), s->class, sizeof s->class) ||
+      !tmx_r_str(tmx_r_at(l, 2), s->team, sizeof s->team) ||
+      !tmx_r_str(tmx_r_at(l, 3), s->image, sizeof s->image) ||
+      !tmx_r_str(tmx_r_at(l, 4), s->zone, sizeof s->zone))
+    return false;
+  const cbor_item_t *types = tmx_r_at(l, 5);
+  for (; s->n_types < tmx_r_len(types) && s->n_types < TMX_TYPES_MAX; s->n_types++)
+    if (!tmx_r_str(tmx_r_at(types, s->n_types), s->types[s->n_types], TMX_ID_MAX)) return false;
+  if (!tmx_r_u64(tmx_r_at(l, 6), &flags) || !tmx_r_u64(tmx_r_at(l, 7), &prio) ||
+      !tmx_r_u64(tmx_r_at(l, 8), &tasks) || tasks < 1 || tasks > TMX_TASKS_MAX ||
+      prio > TMX_PRIO_PROD || !tmx_r_num(tmx_r_at(l, 17), submitted) ||
+      !tmx_r_u64(tmx_r_at(l, 18), fin))
+    return false;
+  s->service = flags & 1;
+  s->one_zone = flags >> 1 & 1;
+  s->spread = flags >> 2 & 1;
+  s->spot = flags >> 3 & 1;
+  s->priority = (int)prio;
+  s->tasks = (uint32_t)tasks;
+  double *num[] = {&s->cpus,       &s->gpus,         &s->mem,    &s->image_gb,
+                   &s->estimate_s, &s->checkpoint_s, &s->save_s, &s->deadline_s};
+  for (size_t i = 0; i < sizeof num / sizeof num[0]; i++)
+    if (!tmx_r_num(tmx_r_at(l, 9 + i), num[i])) return false;
+  return true;
+}
+
+bool tmx_task_parse(const char *s, char *job, size_t cap, uint32_t *index) {
+  const char *c = strrchr(s, '/');
+  if (!c || (size_t)(c - s) >= cap || !c[1] || strlen(c + 1) > 6) return false;
+  uint32_t v = 0;
+  for (const char *d = c + 1; *d; d++) {
+    if (*d < '0' || *d > '9') return false;
+    v = v * 10 + (uint32_t)(*d - '0');
+  }
+  memcpy(job, s, (size_t)(c - s));
+  job[c - s] = 0;
+  *index = v;
+  return true;
+}
+
+int tmx_op_print(char *out, size_t cap, const struct tmx_op *o) {
+  if (o->op == TMX_OP_PLACE)
+    return snprintf(out, cap, "p %s/%u %u %s", o->job, o->task, o->attempt, o->machine);
+  return snprintf(out, cap, "%c %s/%u %u %c", o->op, o->job, o->task, o->attempt, o->how);
+}
+
+bool tmx_op_parse(const char *s, struct tmx_op *o) {
+  char task[TMX_ID_MAX + 16], last[TMX_ID_MAX];
+  memset(o, 0, sizeof *o);
+  if (sscanf(s, "%c %47s %u %31s", &o->op, task, &o->attempt, last) != 4) return false;
+  if (!tmx_task_parse(task, o->job, sizeof o->job, &o->task)) return false;
+  if (o->op == TMX_OP_PLACE)
+    strcpy(o->machine, last);
+  else
+    o->how = last[0];
+  return o->op == TMX_OP_PLACE || o->op == TMX_OP_STOP || o->op == TMX_OP_END;
+}
+
+int tmx_machine_print(char *out, size_t cap, const struct tmx_replica *r,
+                      const struct tmx_machine *m) {
+  return snprintf(out, cap, "m %s %s %s %s %d %d", m->id, m->addr[0] ? m->addr : "-", m->type,
+                  m->zone >= 0 ? r->set->zones[m->zone] : "-", m->spot, m->drain);
+}
+
+static char run_state(const struct tmx_task *t) {
+  return t->state == TMX_TASK_DONE ? 'd'
+         : t->state == TMX_WAITING ? 'w'
+         : t->stop                 ? (char)('0' + t->stop)
+                                   : 'p';
+}
+
+uint32_t tmx_run_print(char *out, size_t cap, const struct tmx_job *j, uint32_t from, int *len) {
+  const struct tmx_task *t = &j->tasks[from];
+  char s = run_state(t);
+  uint32_t n = 1;
+  if (s == 'd' || s == 'w')
+    while (from + n < j->spec.tasks && run_state(&t[n]) == s && t[n].attempt == t->attempt) n++;
+  *len = s == 'w' && !t->attempt ? 0
+                                 : snprintf(out, cap, "t %s/%u %u %u %c %s", j->id, from, n,
+                                            t->attempt, s, t->machine ? t->machine->id : "-");
+  return n;
+}
+
+void tmx_lines_encode(struct tmx_buf *b, const struct tmx_buf *jobs, size_t n_jobs,
+                      const struct tmx_buf *list, size_t n) {
+  tmx_w_map(b, (n_jobs > 0) + (n > 0));
+  if (n_jobs) {
+    tmx_w_str(b, "jobs");
+    tmx_w_list(b, n_jobs);
+    tmx_buf_add(b, jobs->p, jobs->n);
+  }
+  if (n) {
+    tmx_w_str(b, "ops");
+    tmx_w_list(b, n);
+    tmx_buf_add(b, list->p, list->n);
+  }
+}
+
+void tmx_view_encode(struct tmx_buf *b, const struct tmx_view *v) {
+  tmx_w_map(b, 4);
+  tmx_w_kbool(b, "local", v->local);
+  tmx_w_ku64(b, "term", v->term);
+  tmx_w_str(b, "members");
+  tmx_w_list(b, v->n_members);
+  for (size_t i = 0; i < v->n_members; i++) {
+    tmx_w_map(b, 2);
+    tmx_w_kstr(b, "name", v->members[i].name);
+    tmx_w_ku64(b, "inc", v->members[i].inc);
+  }
+  tmx_w_str(b, "exceptions");
+  /* by node, so that each name is written once: a value is small, a cut takes many machines */
+  size_t n = 0;
+  struct tmx_buf list = {0};
+  bool *seen = calloc(v->n_exceptions + 1, sizeof *seen);
+  if (!seen) abort();
+  for (size_t i = 0; i < v->n_exceptions; i++) {
+    if (seen[i]) continue;
+    struct tmx_buf ids = {0};
+    size_t k = 0;
+    for (size_t j = i; j < v->n_exceptions; j++) {
+      if (strcmp(v->exceptions[j].node, v->exceptions[i].node)) continue;
+      seen[j] = true;
+      tmx_w_str(&ids, v->exceptions[j].machine);
+      k++;
+    }
+    tmx_w_str(&list, v->exceptions[i].node);
+    tmx_w_list(&list, k);
+    tmx_buf_add(&list, ids.p, ids.n);
+    tmx_buf_free(&ids);
+    n += 2;
+  }
+  free(seen);
+  tmx_w_list(b, n);
+  tmx_buf_add(b, list.p, list.n);
+  tmx_buf_free(&list);
+}
--- a/src/state/replica.h
+++ b/src/state/replica.h
@@ -208,6 +208,8 @@
 bool tmx_spec_parse(const cbor_item_t *m, struct tmx_spec *s, char *id, size_t id_cap);
 void tmx_job_encode(struct tmx_buf *b, const char *id, const struct tmx_spec *s, double submitted,
                     int fin);
+bool tmx_job_decode(const cbor_item_t *l, char *id, size_t cap, struct tmx_spec *s,
+                    double *submitted, uint64_t *fin);
 bool tmx_task_parse(const char *s, char *job, size_t cap, uint32_t *index);
 /* Lines of a page, as the state stands: one machine; a run of tasks of a job from `from` on that
  * are alike (returns how many; 0 bytes printed if they were never placed). */
--- a/src/worker/health.c
+++ b/src/worker/health.c
@@ -203,7 +203,8 @@
   s->unreached = tmx_worker_hears(r) ? 0 : now - fmax(r->owned_at, r->fence_at);
   if (r->probes_lost) s->unreached = fmax(s->unreached, now - fmax(r->reached_at, r->owned_at));
   /* one that was cut off and is heard again has not had the time yet to show that it hears us */
-  if (back < r->w->c->set.lease_s * TMX_BACK_LEASES) s->unreached = fmin(s->unreached, back + 0.001);
+  if (back < r->w->c->set.lease_s * TMX_BACK_LEASES)
+    s->unreached = fmin(s->unreached, back + 0.001);
   s->notice = r->notice;
   memcpy(s->id, r->id, sizeof s->id);
   return s->lost || s->unreached > 0 || s->notice || s->silence > heard_s;
--- a/src/worker/worker.c
+++ b/src/worker/worker.c
@@ -493,8 +493,21 @@
          (r->bounced_at && now - r->bounced_at >= TMX_TAKE_AFTER_S);
 }
 
+/* Answers a report with orders, which are freed. */
+static void answer_orders(struct tmx_req *q, uint64_t token, struct tmx_buf *o, size_t n) {
+  struct tmx_buf b = {0};
+  tmx_w_map(&b, 2);
+  tmx_w_ku64(&b, W_TOKEN, token);
+  tmx_w_str(&b, W_COMMANDS);
+  tmx_w_list(&b, n);
+  tmx_buf_add(&b, o->p, o->n);
+  tmx_req_reply(q, 200, &b, 0);
+  tmx_buf_free(o);
+  tmx_buf_free(&b);
+}
+
 static void answer_for_owner(struct tmx_workers *w, struct worker *r, struct tmx_req *q) {
-  struct tmx_buf o = {0}, b = {0};
+  struct tmx_buf o = {0};
   size_t n = 0;
   for (size_t i = 0; i < r->n_loads && n < TMX_ORDERS_MAX; i++) {
     const struct load *l = &r->loads[i];
@@ -503,14 +516,7 @@
     w_order(&o, WV_STOP, l->job, l->task, l->attempt, 0.0);
     n++;
   }
-  tmx_w_map(&b, 2);
-  tmx_w_ku64(&b, W_TOKEN, r->seen);
-  tmx_w_str(&b, W_COMMANDS);
-  tmx_w_list(&b, n);
-  tmx_buf_add(&b, o.p, o.n);
-  tmx_req_reply(q, 200, &b, 0);
-  tmx_buf_free(&o);
-  tmx_buf_free(&b);
+  answer_orders(q, r->seen, &o, n);
 }
 
 void tmx_workers_report(struct tmx_workers *w, struct tmx_req *q) {
@@ -571,19 +577,12 @@
     answer_move(q, NULL);
     return;
   }
-  struct tmx_buf o = {0}, b = {0};
+  struct tmx_buf o = {0};
   bool starts = false;
   /* While a command is under way its effect is not known: the lease is renewed, no more. */
   size_t n = r->in_flight ? 0 : orders(r, &o, &starts);
   if (starts) r->starts_out = true;
-  tmx_w_map(&b, 2);
-  tmx_w_ku64(&b, W_TOKEN, token);
-  tmx_w_str(&b, W_COMMANDS);
-  tmx_w_list(&b, n);
-  tmx_buf_add(&b, o.p, o.n);
-  tmx_req_reply(q, 200, &b, 0);
-  tmx_buf_free(&o);
-  tmx_buf_free(&b);
+  answer_orders(q, token, &o, n);
 }
 
 /* ------------------------------------------------------------ for the rounds */
--- a/src/worker/worker.h
+++ b/src/worker/worker.h
@@ -20,7 +20,7 @@
   uint64_t session, seq, seen; /* seen: the highest token the worker has seen */
   double heard_at;             /* last new report that came here; 0: never */
   double reached_at;           /* last proof that it hears us: an answer, or a token of ours */
-  double back_at; /* it gave a sign after it had been silent */
+  double back_at;              /* it gave a sign after it had been silent */
   double bounced_at;
   struct tmx_req *held; /* a report that waits, for a moment, until this controller is the owner */
   double held_at;
--- a/tests/test_rules.c
+++ b/tests/test_rules.c
@@ -375,8 +375,8 @@
 }
 
 /* A zone is cut off from everything: its workers' owner is outside, and no view can be written. The
- * controller inside keeps their leases as long as a cancellation elsewhere allows, starts nothing, and
- * stops what it knows to be cancelled. */
+ * controller inside keeps their leases as long as a cancellation elsewhere allows, starts nothing,
+ * and stops what it knows to be cancelled. */
 static void lease_kept_for_an_owner_out_of_reach(void **st) {
   (void)st;
   up_at_either();
@@ -411,8 +411,8 @@
   assert_int_equal(w.status, 503);
 }
 
-/* The answer to a commit is lost: nobody is told anything that is not known. A submission is known as
- * soon as the log shows it; the user does not wait for the answer. */
+/* The answer to a commit is lost: nobody is told anything that is not known. A submission is known
+ * as soon as the log shows it; the user does not wait for the answer. */
 static void lost_answer_to_a_commit(void **st) {
   (void)st;
   state.doors[0].lose_next_txn = true;
@@ -427,7 +427,8 @@
   double t = tmx_now();
   assert_int_equal(submit(a, "wk-000002", "batch", 1, 2, "t"), 200);
   assert_true(tmx_now() - t < TMX_STATE_TIMEOUT_S / 2);
-  pump_for(TMX_STATE_TIMEOUT_S + 0.2); /* the commit's own answer is given up on, and changes nothing */
+  pump_for(TMX_STATE_TIMEOUT_S +
+           0.2); /* the commit's own answer is given up on, and changes nothing */
   assert_int_equal(submit(a, "wk-000002", "batch", 1, 2, "t"), 200);
 }
 
