What a member says counts by the view that stands; who comes back hears all before it judges

Heartbeats now carry the term. 50 s later another that came back took the lead, as it had not heard the leader again yet, and deleted 122 machines that its forerunner spared: silence of peers counts from the end of one's own trouble, and a new leader spares what was silent for 8 s before it.

--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -120,6 +120,7 @@
 #define TMX_PROBE_COST_S 0.00025 /* processor time of a probe, measured */
 #define TMX_PROBE_S 0.5          /* between probes in doubt, and the wait for an answer */
 #define TMX_ZONE_CUT_S 4.0       /* a zone counts as cut off for this long after the last sign */
+#define TMX_INHERIT_S 8.0        /* silent for so long before this leader came: it was spared */
 #define TMX_PROBES_LOST 3        /* in a row: the machine is given up */
 #define TMX_SILENT_S 1.5         /* ... if it gave no other sign for this long */
 #define TMX_ALIVE_S 1.2 /* a sign of life this young: shorter than it takes to lose a machine */
--- a/src/cloud/returns.c
+++ b/src/cloud/returns.c
@@ -220,18 +220,19 @@
    * and what they hold could hardly run elsewhere. So nothing of it is given up for silence before
    * all its work must be gone, and a lease more. */
   bool cut = false;
+  double spare[TMX_ZONES_MAX];
   for (size_t z = 0; z < c->set.n_zones; z++) {
+    /* when a cut is over its machines are asked one after the other again, the last ones late */
+    spare[z] =
+        TMX_ZONE_CUT_S + TMX_PROBE_S * (1 << TMX_PROBE_DOUBLINGS) +
+        signs[z].machines / (TMX_SUSPECTS_SHARE * fmax(1, n_heard) * tmx_workers_probe_rate(c));
     if (tmx_zone_seems_cut(&signs[z])) {
       k->cut_until[z] = now + TMX_ZONE_CUT_S;
-      /* when the cut is over its machines are asked one after the other again, the last ones late
-       */
-      k->spared_until[z] =
-          k->cut_until[z] + TMX_PROBE_S * (1 << TMX_PROBE_DOUBLINGS) +
-          signs[z].machines / (TMX_SUSPECTS_SHARE * fmax(1, n_heard) * tmx_workers_probe_rate(c));
+      k->spared_until[z] = now + spare[z];
     }
     cut |= k->cut_until[z] > now;
   }
-  double given_up = c->set.cancel_s + c->set.lease_s;
+  double given_up = c->set.cancel_s + c->set.lease_s; /* twice, where replicas would only wait */
   HASH_ITER(hh, r->machines, m, mt) {
     if (!m->known || d->n == max) continue;
     struct listed *l;
@@ -241,13 +242,18 @@
     /* its owner's word, if that reaches its other machines */
     bool doubt = m->owner >= 0 && heard[m->owner] && tmx_workers_suspect(c->workers, m, &x);
     bool lost = doubt && x.lost >= TMX_PROBES_LOST;
+    /* The leader before would have given up what was silent for so long, unless it spared it: a new
+     * one does as much, as it cannot know of a cut that has just ended. */
+    double led = now - k->led_since;
+    bool spared = m->zone >= 0 && (now < k->spared_until[m->zone] ||
+                                   (led < spare[m->zone] && x.silence > led + TMX_INHERIT_S));
     const char *why = NULL;
     if (l && l->state == LS_FAILED)
       why = "failed";
     else if (settled && lost && x.silence > silent &&
-             (m->zone < 0 || now > k->spared_until[m->zone] || x.silence > given_up))
+             (!spared || x.silence > given_up * (services_on(m) > 0 ? 2 : 1)))
       why = "silent";
-    else if (settled && doubt && now > k->spared_until[m->zone < 0 ? 0 : m->zone] &&
+    else if (settled && doubt && !spared &&
              x.silence < c->set.report_s * 1.25 + TMX_REPORT_LATE_S &&
              x.unreached > c->set.lease_s * TMX_UNREACHED_LEASES)
       why = "heard, and not reached";
--- a/src/controller.c
+++ b/src/controller.c
@@ -143,7 +143,7 @@
                        .cut = tmx_peers_cut(c->peers, name),
                        .silence = tmx_peers_silence(c->peers, name),
                        .wrote = now - tmx_replica_wrote(&c->rep, name),
-                       .watched = now - since};
+                       .watched = now - fmax(since, c->trouble_at)};
   return strcmp(name, c->set.node) && tmx_seems_lost(o, &s);
 }
 
@@ -246,6 +246,10 @@
   /* it stood still, or has more to do than its processor allows: time is missing here */
   if (c->tick_at && now - c->tick_at > TMX_TICK_S + TMX_LATE_S) c->late_at = now;
   c->tick_at = now;
+  /* coming back from a cut it hears the others one after the other: the last one is not lost */
+  if (c->late_at == now || now - tmx_link_confirmed(c->link) > TMX_STATE_LOST_S ||
+      !tmx_peers_any(c->peers))
+    c->trouble_at = now;
   tmx_peers_tick(c->peers);
   tmx_link_suspect(c->link, leader_lost(c) ? c->rep.leader : "");
   tmx_link_stand_back(c->link, tmx_ctl_no_workers(c) && tmx_peers_any(c->peers));
--- a/src/controller.h
+++ b/src/controller.h
@@ -34,6 +34,7 @@
   bool view_busy;
   double view_at, split_at, started_at;
   double led_at;           /* this controller has led since */
+  double trouble_at;       /* it was late, without state or without peers, until then */
   double tick_at, late_at; /* latest tick, and the latest one that came late */
 };
 
@@ -103,7 +104,8 @@
 };
 typedef void (*tmx_each_suspect)(void *arg, const struct tmx_suspect *s);
 void tmx_workers_suspects(struct tmx_workers *w, tmx_each_suspect f, void *arg);
-void tmx_workers_peer_says(struct tmx_workers *w, const char *node, const struct tmx_suspect *s);
+void tmx_workers_peer_says(struct tmx_workers *w, const char *node, uint64_t term,
+                           const struct tmx_suspect *s);
 struct tmx_reach { /* of the machines that this controller owns */
   unsigned owned, reached;
   double report_age; /* s since any worker's report came here; 1e9: never */
@@ -142,6 +144,6 @@
 bool tmx_peers_any(const struct tmx_peers *p);                         /* is any heard */
 double tmx_peers_state_age(const struct tmx_peers *p); /* s: the freshest state among those heard */
 bool tmx_peers_cut(const struct tmx_peers *p, const char *node); /* it says it reaches no workers */
-/* What it says of its machines by zone; NULL: it is not one of the peers. */
+/* What it says of its machines by zone; NULL: nothing that counts by the view that stands. */
 const struct tmx_zone_signs *tmx_peers_zones(const struct tmx_peers *p, const char *node);
 #endif
--- a/src/peer/beat.x
+++ b/src/peer/beat.x
@@ -22,6 +22,7 @@
 struct tmx_beat {
   string node<TMX_BEAT_NAME>;
   unsigned hyper revision;   /* of the sender's replica */
+  unsigned hyper term;       /* of the view by which it owns its machines */
   unsigned int state_age_ms; /* since state was last confirmed */
   bool no_workers;           /* the sender reaches hardly any of its machines */
   tmx_beat_suspect suspects<TMX_BEAT_MACHINES>;
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -33,6 +33,7 @@
   /* from its beats */
   double beat_at;
   double state_age;
+  uint64_t term;
   bool no_workers;
   struct tmx_zone_signs zones[TMX_ZONES_MAX];
 };
@@ -73,6 +74,7 @@
   q->beat_at = tmx_now();
   q->refusals = 0;
   q->state_age = b->state_age_ms / 1000.0;
+  q->term = b->term;
   if (b->revision > p->c->rep.rev) tmx_link_behind(p->c->link);
   q->no_workers = b->no_workers;
   memset(q->zones, 0, sizeof q->zones);
@@ -88,7 +90,7 @@
                             .unreached = d->unreached_ms / 1000.0,
                             .notice = d->notice};
     snprintf(x.id, sizeof x.id, "%s", d->id);
-    tmx_workers_peer_says(p->c->workers, q->name, &x);
+    tmx_workers_peer_says(p->c->workers, q->name, b->term, &x);
   }
 }
 
@@ -243,6 +245,7 @@
     zones[i] = (tmx_beat_zone){c->set.zones[i], signs[i].machines, signs[i].lost, signs[i].alive};
   tmx_beat b = {.node = c->set.node,
                 .revision = c->rep.rev,
+                .term = c->rep.view.term,
                 .state_age_ms = age > 1e6 ? UINT32_MAX : (u_int)(age * 1000),
                 .no_workers = tmx_ctl_no_workers(c),
                 .suspects = {.suspects_len = (u_int)g.n, .suspects_val = g.v},
@@ -325,7 +328,8 @@
 
 const struct tmx_zone_signs *tmx_peers_zones(const struct tmx_peers *p, const char *node) {
   for (size_t i = 0; i < p->n; i++)
-    if (!strcmp(p->peers[i].name, node)) return p->peers[i].zones;
+    if (!strcmp(p->peers[i].name, node))
+      return p->peers[i].term >= p->c->rep.view.term ? p->peers[i].zones : NULL;
   return NULL;
 }
 
--- a/src/worker/health.c
+++ b/src/worker/health.c
@@ -226,7 +226,8 @@
   }
 }
 
-void tmx_workers_peer_says(struct tmx_workers *w, const char *node, const struct tmx_suspect *s) {
+void tmx_workers_peer_says(struct tmx_workers *w, const char *node, uint64_t term,
+                           const struct tmx_suspect *s) {
   struct worker *r;
   HASH_FIND_STR(w->all, s->id, r);
   if (!r) {
@@ -236,6 +237,7 @@
   }
   r->said = *s;
   r->said_at = tmx_now();
+  r->said_term = term;
   snprintf(r->said_by, sizeof r->said_by, "%s", node);
 }
 
@@ -247,8 +249,9 @@
   if (m->owner == tmx_ctl_self(w->c))
     return suspect(r, now, w->c->set.report_s * 1.25 + TMX_REPORT_LATE_S, out);
   const char *owner = w->c->rep.view.members[m->owner].name;
-  /* in its latest heartbeat, or not at all */
-  if (!r->said_at || strcmp(r->said_by, owner) ||
+  /* In its latest heartbeat, or not at all, and by the view that stands: a controller that was cut
+   * off still tells of what it owned before, none of which it could reach. */
+  if (!r->said_at || r->said_term < w->c->rep.view.term || strcmp(r->said_by, owner) ||
       now - r->said_at > tmx_peers_silence(w->c->peers, owner) + 0.05 ||
       now - r->said_at > TMX_BEAT_LOST_S)
     return false;
--- a/src/worker/worker.h
+++ b/src/worker/worker.h
@@ -48,6 +48,7 @@
   struct tmx_suspect said;
   char said_by[TMX_NAME_MAX];
   double said_at;
+  uint64_t said_term; /* of the view that it spoke by */
   UT_hash_handle hh;
 };
 
