--- a/src/worker/worker.c
+++ b/src/worker/worker.c
@@ -249,7 +249,7 @@
 /* Takes a report in: from a request, or (hello false) from the answer to a command or a probe.
  * false: malformed. fresh: newer than all that is known. */
 static bool take_report(struct tmx_workers *w, const cbor_item_t *m, bool hello,
-                        struct worker **out, bool *fresh) {
+                        struct worker **out, bool *fresh, uint64_t *in_session) {
   struct tmx_worker_facts f = {0};
   uint64_t session, seq, seen = 0;
   double notice = -1;
@@ -266,6 +266,7 @@
   tmx_r_kbool(m, W_SPOT, &f.spot);
   tmx_r_ku64(m, W_TOKEN, &seen);
   tmx_r_knum(m, W_NOTICE, &notice);
+  *in_session = session;
   if (tmx_machine_gone(&w->c->rep, f.id)) return true; /* a late copy */
   struct worker *r = tmx_worker_make(w, f.id);
   if (!r) return false;
@@ -328,8 +329,8 @@
   if (grace >= 0) tmx_w_knum(b, W_GRACE, grace);
 }
 
-/* Appends orders; returns their number. */
-static size_t orders(struct worker *r, struct tmx_buf *b, bool *starts) {
+/* Appends orders; returns their number. Stops alone may go at any time, and more than once. */
+static size_t orders(struct worker *r, struct tmx_buf *b, bool stops_only, bool *starts) {
   bool may_start = tmx_ctl_may_start(r->w->c);
   struct tmx_machine *m = r->m;
   size_t n = 0;
@@ -347,15 +348,16 @@
   }
   for (size_t i = 0; i < r->n_loads && n < TMX_ORDERS_MAX; i++) {
     const struct load *l = &r->loads[i];
-    if (l->current) continue;
+    if (l->current || (stops_only && l->state == LD_EXITED)) continue;
     /* The log has settled this attempt: an exited one may be forgotten. One that still runs
      * must not. */
     w_order(b, l->state == LD_EXITED ? WV_FORGET : WV_STOP, l->job, l->task, l->attempt,
             l->state == LD_EXITED ? -1 : 0.0);
     n++;
   }
+  if (stops_only || !may_start) return n;
   for (struct tmx_task *t = m->tasks; t && n < TMX_ORDERS_MAX; t = t->next) {
-    if (t->stop || t->job->fin || reported(r, t) || !may_start) continue;
+    if (t->stop || t->job->fin || reported(r, t)) continue;
     w_order(b, WV_START, t->job->id, tmx_task_index(t), t->attempt, -1);
     *starts = true;
     n++;
@@ -370,7 +372,8 @@
 bool tmx_worker_answer(struct worker *r, const uint8_t *body, size_t len) {
   cbor_item_t *m = tmx_cbor_parse(body, len);
   struct worker *same = NULL;
-  bool fresh, ok = m && take_report(r->w, m, false, &same, &fresh) && same == r;
+  uint64_t session;
+  bool fresh, ok = m && take_report(r->w, m, false, &same, &fresh, &session) && same == r;
   tmx_cbor_free(m);
   if (ok) r->reached_at = tmx_now();
   return ok;
@@ -422,7 +425,7 @@
   if (r->seen > token) return;
   struct tmx_buf o = {0}, b = {0};
   bool starts;
-  size_t n = orders(r, &o, &starts);
+  size_t n = orders(r, &o, false, &starts);
   if (n) {
     tmx_w_map(&b, 3);
     tmx_w_ku64(&b, W_TOKEN, token);
@@ -470,7 +473,7 @@
   HASH_ITER(hh, w->all, r, t) tmx_worker_own(w, r);
 }
 
-static void answer_owned(struct tmx_workers *w, struct worker *r, struct tmx_req *q);
+static void answer_owned(struct tmx_workers *w, struct worker *r, struct tmx_req *q, bool older);
 
 /* Sends what the latest events made due; called after events were applied, not within. */
 void tmx_workers_flush(struct tmx_workers *w) {
@@ -490,7 +493,7 @@
     if (!r->held->conn || tmx_now() - r->held_at > TMX_TAKE_HOLD_S)
       answer_move(release_held(r), NULL);
     else if (tmx_ctl_fresh(w->c) && tmx_worker_own(w, r))
-      answer_owned(w, r, release_held(r));
+      answer_owned(w, r, release_held(r), false);
     else if (n < TMX_TAKE_MAX)
       take[n++] = r->id;
   }
@@ -566,7 +569,8 @@
   cbor_item_t *m = tmx_cbor_parse(q->body, q->body_len);
   struct worker *r = NULL;
   bool latest;
-  if (!m || !take_report(w, m, true, &r, &latest)) {
+  uint64_t session;
+  if (!m || !take_report(w, m, true, &r, &latest, &session)) {
     tmx_cbor_free(m);
     tmx_req_reply(q, 400, NULL, 0);
     return;
@@ -605,14 +609,16 @@
     answer_move(q, owner);
     return;
   }
-  if (!latest) { /* a late copy: nobody waits for its answer */
+  if (session < r->session) { /* a late copy: nobody waits for its answer */
     answer_move(q, NULL);
     return;
   }
-  answer_owned(w, r, q);
+  answer_owned(w, r, q, !latest);
 }
 
-static void answer_owned(struct tmx_workers *w, struct worker *r, struct tmx_req *q) {
+/* older: a probe's answer has overtaken the report, which its worker still waits for (or it is a
+ * late copy, and nobody does). Its lease counts from when it was sent, in either case. */
+static void answer_owned(struct tmx_workers *w, struct worker *r, struct tmx_req *q, bool older) {
   r->bounced_at = 0;
   uint64_t token = tmx_ctl_token(w->c, r->bump);
   if (r->seen > token) { /* a newer owner has been at it */
@@ -621,8 +627,9 @@
   }
   struct tmx_buf o = {0};
   bool starts = false;
-  /* While a command is under way its effect is not known: the lease is renewed, no more. */
-  size_t n = r->in_flight ? 0 : orders(r, &o, &starts);
+  /* While a command is under way its effect is not known: nothing is started. An answer that renews
+   * a lease always stops what is cancelled, though. */
+  size_t n = orders(r, &o, older || r->in_flight, &starts);
   if (starts) r->starts_out = true;
   answer_orders(q, token, &o, n);
 }
--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -322,6 +322,29 @@
   assert_true(fake_logged("e wk-000001/0 1 e"));
 }
 
+/* A probe's answer overtakes a report on its way. The worker still waits for the answer to it: it
+ * is not sent elsewhere, its lease is renewed, and what is cancelled is stopped; nothing is started
+ * by it. */
+static void probe_overtakes_a_report(void **st) {
+  (void)st;
+  up(&w);
+  assert_int_equal(submit(a, "wk-000001", "service", 1, 2, "t"), 201);
+  wait_starts(1);
+  struct fake_worker sent = w;
+  uint64_t seq = w.seq;
+  for (int i = 0; i < 300 && w.seq < seq + 3; i++) pump_for(0.02);
+  assert_true(w.seq >= seq + 3);
+  w.mute = true;
+  assert_string_equal(cancel_job(a, "wk-000001").state, WV_CANCELLED);
+  pump_for(0.2);
+  worker_report(&sent, a);
+  assert_int_equal(sent.status, 200);
+  assert_true(worker_has(&sent, WV_STOP, "wk-000001/0", 1));
+  sent.session--; /* not so one of an earlier session */
+  worker_report(&sent, a);
+  assert_int_equal(sent.status, 421);
+}
+
 /* A batch that got no answer is carried out after newer ones of the same controller: what it rested
  * on is no longer there. */
 static void late_batch(void **st) {
@@ -619,6 +642,7 @@
       cmocka_unit_test_setup_teardown(cancellation_at_the_last_end, setup, teardown),
       cmocka_unit_test_setup_teardown(late_command_of_a_later_session, setup, teardown),
       cmocka_unit_test_setup_teardown(late_copy_of_an_earlier_session, setup, teardown),
+      cmocka_unit_test_setup_teardown(probe_overtakes_a_report, setup, teardown),
       cmocka_unit_test_setup_teardown(late_batch, setup, teardown),
       cmocka_unit_test_setup_teardown(late_put_of_the_node_key, setup, teardown),
       cmocka_unit_test_setup_teardown(ends_far_apart, setup, teardown),
--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -157,6 +157,18 @@
     assert_non_null(strstr(err, fields[i]));
     assert_null(strchr(err, '\n'));
   }
+  /* so little lies between a lease and a cancellation that no freshness bound is safe: refused, and
+   * not clamped; of long leases drifting clocks take their part */
+  static const char *tight[] = {"\"lease_s\":37.5,", "\"lease_s\":20.0,", "\"lease_s\":2995.0,"};
+  static const char *cancel[] = {"40.0", "40.0", "3000.0"};
+  for (int i = 0; i < 3; i++) {
+    const char *lease = strstr(good, "\"lease_s\":20.0,"), *rest = strstr(good, "40.0");
+    assert_true(lease && rest);
+    snprintf(text, sizeof text, "%.*s%s\"cancel_s\":%s%s", (int)(lease - good), good, tight[i],
+             cancel[i], rest + 4);
+    assert_int_equal(tmx_settings_parse(&s, text, err, sizeof err), i != 0);
+    if (i) assert_true(tmx_fresh_bound(&s) + s.lease_s * (1 + TMX_DRIFT) < s.cancel_s);
+  }
   /* more than a table holds is refused, not cut short */
   char many[4096];
   const char *at = strstr(good, "\"cluster\"");
