--- a/tests/fake.c
+++ b/tests/fake.c
@@ -15,7 +15,7 @@
 struct ev_loop *loop;
 struct fake_state state;
 struct fake_cloud cloud;
-static int ports[4][2]; /* port, and the socket that reserves it */
+static int ports[FAKE_NODES][2]; /* port, and the socket that reserves it */
 
 /* ------------------------------------------------------------ running the loop */
 
@@ -400,7 +400,7 @@
 
 /* ------------------------------------------------------------ workers */
 
-static void w_report(const struct fake_worker *w, struct tmx_buf *b) {
+void worker_encode(const struct fake_worker *w, struct tmx_buf *b) {
   tmx_w_map(b, 9);
   tmx_w_kstr(b, W_MACHINE, w->id);
   tmx_w_kstr(b, W_ADDR, w->addr);
@@ -494,7 +494,7 @@
     tmx_cbor_free(m);
   }
   w->seq++;
-  w_report(w, &b);
+  worker_encode(w, &b);
   tmx_req_reply(q, status, &b, 0);
   tmx_buf_free(&b);
 }
@@ -516,11 +516,8 @@
 };
 static bool is_done(void *arg) { return ((struct waiting *)arg)->done; }
 
-static void on_reported(void *arg, int status, const uint8_t *body, size_t len) {
-  struct waiting *x = arg;
-  struct fake_worker *w = x->w;
+void worker_answered(struct fake_worker *w, int status, const uint8_t *body, size_t len) {
   cbor_item_t *m = tmx_cbor_parse(body, len);
-  x->done = true;
   w->status = status;
   w->move_to[0] = 0;
   w->answer_token = 0;
@@ -537,12 +534,18 @@
   tmx_cbor_free(m);
 }
 
+static void on_reported(void *arg, int status, const uint8_t *body, size_t len) {
+  struct waiting *x = arg;
+  x->done = true;
+  worker_answered(x->w, status, body, len);
+}
+
 void worker_report(struct fake_worker *w, struct tmx_ctl *c) {
   struct waiting x = {.w = w};
   struct tmx_buf b = {0};
   struct tmx_client *k = to(c);
   w->seq++;
-  w_report(w, &b);
+  worker_encode(w, &b);
   assert_true(tmx_client_call(k, "POST", WP_REPORT, &b, 5, on_reported, &x));
   tmx_buf_free(&b);
   assert_true(pump(is_done, &x));
@@ -646,39 +649,43 @@
   return ntohs(at.sin_port);
 }
 
-struct tmx_ctl *controller(int k, int of) {
-  static struct tmx_settings s;
-  char err[256];
-  memset(&s, 0, sizeof s);
-  tmx_operator_defaults(&s.op);
-  snprintf(s.node, sizeof s.node, "hand-%d", k);
-  strcpy(s.zone, "a");
-  strcpy(s.listen, "127.0.0.1:0");
-  snprintf(s.peer_listen, sizeof s.peer_listen, "127.0.0.1:%d", ports[k][0]);
-  snprintf(s.state, sizeof s.state, "127.0.0.1:%d", tmx_server_port(state.doors[k].srv));
-  snprintf(s.cloud, sizeof s.cloud, "127.0.0.1:%d", tmx_server_port(cloud.srv));
+void fake_settings(struct tmx_settings *s, int k, int of) {
+  memset(s, 0, sizeof *s);
+  tmx_operator_defaults(&s->op);
+  snprintf(s->node, sizeof s->node, "hand-%d", k);
+  strcpy(s->zone, "a");
+  strcpy(s->listen, "127.0.0.1:0");
+  snprintf(s->peer_listen, sizeof s->peer_listen, "127.0.0.1:%d", ports[k][0]);
+  snprintf(s->state, sizeof s->state, "127.0.0.1:%d", tmx_server_port(state.doors[k].srv));
+  snprintf(s->cloud, sizeof s->cloud, "127.0.0.1:%d", tmx_server_port(cloud.srv));
   for (int i = 0; i < of; i++) {
     if (i == k) continue;
-    struct tmx_peer_conf *p = &s.peers[s.n_peers++];
+    struct tmx_peer_conf *p = &s->peers[s->n_peers++];
     snprintf(p->name, sizeof p->name, "hand-%d", i);
     snprintf(p->addr, sizeof p->addr, "127.0.0.1:%d", ports[i][0]);
   }
-  strcpy(s.zones[0], "a");
-  s.n_zones = 1;
-  strcpy(s.teams[0].name, "t");
-  s.teams[0].cpus_max = 8;
-  s.n_teams = 1;
-  s.report_s = 3;
-  s.lease_s = 20;
-  s.cancel_s = 40;
-  s.state_rps = 1000;
-  s.write_rps = 1000;
-  s.value_kb = 16;
-  s.txn_ops = 32;
-  s.cloud_rps = 100;
-  s.list_lag_s = 8;
-  s.ram_mb = 128;
-  s.sockets = 500;
+  strcpy(s->zones[0], "a");
+  s->n_zones = 1;
+  strcpy(s->teams[0].name, "t");
+  s->teams[0].cpus_max = 8;
+  s->n_teams = 1;
+  s->report_s = 3;
+  s->lease_s = 20;
+  s->cancel_s = 40;
+  s->state_rps = 1000;
+  s->write_rps = 1000;
+  s->value_kb = 16;
+  s->txn_ops = 32;
+  s->cloud_rps = 100;
+  s->list_lag_s = 8;
+  s->ram_mb = 128;
+  s->sockets = 500;
+}
+
+struct tmx_ctl *controller(int k, int of) {
+  static struct tmx_settings s;
+  char err[256];
+  fake_settings(&s, k, of);
   struct tmx_ctl *c = tmx_ctl_new(loop, &s, err, sizeof err);
   if (!c) fail_msg("%s", err);
   return c;
@@ -688,7 +695,7 @@
   loop = ev_default_loop(EVFLAG_AUTO);
   memset(&state, 0, sizeof state);
   memset(&cloud, 0, sizeof cloud);
-  for (int i = 0; i < 4; i++) {
+  for (int i = 0; i < FAKE_NODES; i++) {
     state.doors[i].s = &state;
     state.doors[i].srv = tmx_server_new(loop, "127.0.0.1:0", 200, 60, on_state, &state.doors[i]);
     ports[i][0] = reserve_port(&ports[i][1]);
@@ -697,11 +704,11 @@
 }
 
 void fake_close(void) {
-  for (int i = 0; i < 4; i++)
+  for (int i = 0; i < FAKE_NODES; i++)
     if (state.doors[i].held) tmx_req_reply(state.doors[i].held, 500, NULL, 0);
   for (size_t i = 0; i < state.n_w; i++) tmx_req_reply(state.w[i].req, 503, NULL, 0);
   state.n_w = 0;
-  for (int i = 0; i < 4; i++) {
+  for (int i = 0; i < FAKE_NODES; i++) {
     tmx_server_free(state.doors[i].srv);
     close(ports[i][1]);
     free(state.doors[i].late);
--- a/tests/fake.h
+++ b/tests/fake.h
@@ -8,6 +8,8 @@
 
 #include "controller.h"
 
+#define FAKE_NODES 5
+
 struct fake_entry {
   char key[TMX_KEY_MAX + 1];
   uint8_t *value;
@@ -51,7 +53,7 @@
   unsigned commits, conflicts;
   size_t value_max; /* bytes as JSON; 0: no limit */
   unsigned too_large;
-  struct fake_door doors[4];
+  struct fake_door doors[FAKE_NODES];
 };
 struct fake_cloud {
   struct tmx_server *srv;
@@ -95,7 +97,8 @@
 
 void fake_open(void);
 void fake_close(void);
-struct tmx_ctl *controller(int k, int of); /* hand-k among `of` controllers */
+void fake_settings(struct tmx_settings *s, int k, int of); /* of hand-k among `of` controllers */
+struct tmx_ctl *controller(int k, int of);
 struct tmx_client *to(struct tmx_ctl *c);
 bool pump(bool (*done)(void *), void *arg); /* runs the loop until done; false after 10 s */
 void pump_for(double s);
@@ -110,6 +113,8 @@
 void worker_open(struct fake_worker *w, const char *id);
 void worker_report(struct fake_worker *w,
                    struct tmx_ctl *c); /* sends one and waits for its answer */
+void worker_encode(const struct fake_worker *w, struct tmx_buf *b); /* its report as it stands */
+void worker_answered(struct fake_worker *w, int status, const uint8_t *body, size_t len);
 bool worker_has(const struct fake_worker *w, const char *op, const char *task, uint32_t attempt);
 void worker_do(struct fake_worker *w); /* executes the orders of the latest answer */
 void worker_set(struct fake_worker *w, const char *task, uint32_t attempt, const char *st,
