Every controller keeps the peak; log lines are split without sscanf; ends are a list

Load program under perf: sscanf was 61% of a start's loading, the search of all machines for ends and registrations 7% of a start and 10% of the one left. Both are gone.

--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -168,6 +168,7 @@
 #define TMX_PEAK_S                                                                             \
   60                            /* room is kept for the peak of this long: the least charge of \
                                    a machine, and longer than a boot */
+#define TMX_DEMAND_GAP_S 5     /* s; seen with a longer gap, the peak is not known */
 #define TMX_ROOM_OVER_PEAK 0.1  /* ... and this share more, less among more than 100 machines */
 #define TMX_ROOM_TO_MOVE 2.0    /* times a machine's replicas must be free in its zone first */
 #define TMX_ROOM_AFTER 0.2      /* ... and this share of the zone's part of the peak */
--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -415,6 +415,7 @@
     k->types_busy =
         tmx_client_call(k->http, "GET", WP_TYPES, NULL, TMX_CLOUD_TIMEOUT_S, on_types, k);
   }
+  tmx_cloud_note_demand(k, now);
   /* a leader that lost the state service may have been replaced: it gives nothing up */
   if (!tmx_link_leading(k->c->link) || now - tmx_link_confirmed(k->c->link) > TMX_STATE_LOST_S) {
     k->led_since = now;
--- a/src/cloud/cloud.h
+++ b/src/cloud/cloud.h
@@ -45,6 +45,7 @@
   uint64_t hire_seq;
   double booked[TMX_PEAK_S]; /* CPUs booked and asked for, the most in each of the last seconds */
   int booked_at;             /* second of the latest entry */
+  double demand_since;       /* entries have been made without a gap since */
   double drain_at, use_at;
   double cut_until[TMX_ZONES_MAX];    /* zones that seem cut off */
   double spared_until[TMX_ZONES_MAX]; /* ... and none of it is given up for silence */
@@ -55,5 +56,6 @@
 struct listed *tmx_cloud_listed(struct tmx_cloud *k, const char *id);
 /* src/cloud/returns.c: gives up what is dead, returns what is not needed */
 void tmx_cloud_sweep(struct tmx_cloud *k);
+void tmx_cloud_note_demand(struct tmx_cloud *k, double now);
 void tmx_cloud_log_use(struct tmx_cloud *k, double now);
 #endif
--- a/src/cloud/returns.c
+++ b/src/cloud/returns.c
@@ -48,16 +48,24 @@
   tmx_rounds_line(k->c->rounds, line);
 }
 
-/* The most room that was in use or asked for within the last TMX_PEAK_S. */
-static double peak_booked(struct tmx_cloud *k, double now, double booked) {
+/* Every controller keeps the peak of what is in use or asked for, so that one that comes to lead
+ * knows it: else nothing would be returned for TMX_PEAK_S after every change of leader. */
+void tmx_cloud_note_demand(struct tmx_cloud *k, double now) {
+  const struct tmx_ctl *c = k->c;
   int sec = (int)now;
-  if (sec - k->booked_at > TMX_PEAK_S) {
-    for (int i = 0; i < TMX_PEAK_S; i++) k->booked[i] = 0;
+  if (!c->rep.loaded || now - tmx_link_confirmed(c->link) > TMX_STATE_LOST_S) return;
+  if (sec - k->booked_at > TMX_DEMAND_GAP_S) { /* it did not see what came in between */
+    memset(k->booked, 0, sizeof k->booked);
+    k->demand_since = now;
     k->booked_at = sec;
   }
   while (k->booked_at < sec) k->booked[++k->booked_at % TMX_PEAK_S] = 0;
-  double *b = &k->booked[sec % TMX_PEAK_S], most = 0;
-  *b = fmax(*b, booked);
+  double *b = &k->booked[sec % TMX_PEAK_S];
+  *b = fmax(*b, c->rep.booked + c->rep.asked);
+}
+
+static double peak_booked(const struct tmx_cloud *k) {
+  double most = 0;
   for (int i = 0; i < TMX_PEAK_S; i++) most = fmax(most, k->booked[i]);
   return most;
 }
@@ -71,21 +79,13 @@
   return x->v == y->v ? strcmp(x->m->id, y->m->id) : x->v > y->v ? -1 : 1;
 }
 
-/* CPUs of the services on a machine. */
-static double services_on(const struct tmx_machine *m) {
-  double cpus = 0;
-  for (const struct tmx_task *t = m->tasks; t; t = t->next)
-    if (t->job->spec.service) cpus += t->job->spec.cpus;
-  return cpus;
-}
-
 /* Returns the dearest machines that the peak of the last while would not have needed, a few at a
  * time. Their arrays run to their end; their replicas move, so room for them must be free in the
  * same zone. */
-static void shrink(struct tmx_cloud *k, double booked, bool waiting) {
+static void shrink(struct tmx_cloud *k, bool waiting) {
   struct tmx_ctl *c = k->c;
   struct tmx_replica *r = &c->rep;
-  double now = tmx_now(), peak = peak_booked(k, now, booked), have = 0;
+  double now = tmx_now(), peak = peak_booked(k), have = 0;
   double zone_free[TMX_ZONES_MAX] = {0};
   struct tmx_machine *m, *mt;
   size_t n = 0, known = 0;
@@ -100,7 +100,7 @@
       /* work waits: what is about to be returned is nearer than anything that must boot */
       if (waiting && m->tasks && !(m->errors >= TMX_SICK_ERRORS && m->error_two))
         drain(k, m, false);
-      else if (services_on(m) > 0) /* arrays that run out hold up nothing else */
+      else if (m->services > 0) /* arrays that run out hold up nothing else */
         draining += t->cpus;
       continue;
     }
@@ -111,14 +111,15 @@
   /* the more machines, the less a chance arrival is beside the rest */
   double over = fmin(TMX_ROOM_OVER_PEAK, 1 / sqrt(fmax(known, 1)));
   double after = fmin(TMX_ROOM_AFTER, 2 * over);
-  /* a new leader does not know the peak yet; what is about to be returned it takes back at once */
-  if (waiting || now - k->led_since < TMX_PEAK_S) return;
+  /* One that has just started does not know the peak yet; what is about to be returned it takes
+   * back at once. */
+  if (waiting || now - k->led_since < TMX_SETTLE_S || now - k->demand_since < TMX_PEAK_S) return;
   struct choice *v = calloc(known + 1, sizeof *v);
   if (!v) abort();
   HASH_ITER(hh, r->machines, m, mt) {
     const struct tmx_type *t = tmx_cloud_type(k, m->type);
     if (!m->known || !t || m->drain || m->zone < 0) continue;
-    double services = services_on(m);
+    double services = m->services;
     double spare = zone_free[m->zone] - (t->cpus - m->cpus);
     if (services > 0 && spare < TMX_ROOM_TO_MOVE * services + after * peak / (double)c->set.n_zones)
       continue;
@@ -131,7 +132,7 @@
   for (size_t i = 0; i < n && returning < step; i++) {
     struct tmx_machine *x = v[i].m;
     double cpus = tmx_cloud_type(k, x->type)->cpus;
-    bool holds = services_on(x) > 0;
+    bool holds = x->services > 0;
     if (have - cpus < peak * (1 + over)) continue;
     if (holds && draining > 0 && draining + cpus > TMX_DRAIN_HELD * have) continue;
     if (holds) draining += cpus;
@@ -144,10 +145,9 @@
 
 /* What an operator wants to see over a day: what is rented and what of it is used. */
 void tmx_cloud_log_use(struct tmx_cloud *k, double now) {
-  double cpus[2] = {0, 0}, booked[2] = {0, 0}, drain = 0, services = 0, waiting = 0;
+  double cpus[2] = {0, 0}, booked[2] = {0, 0}, drain = 0, services = 0;
   size_t n = 0, unusable = 0;
   struct tmx_machine *m, *mt;
-  struct tmx_job *j, *jt;
   if (!tmx_log_on(TMX_INFO) || now - k->use_at < TMX_USE_LOG_S) return;
   k->use_at = now;
   HASH_ITER(hh, k->c->rep.machines, m, mt) {
@@ -158,15 +158,13 @@
     cpus[m->spot] += t->cpus;
     booked[m->spot] += m->cpus;
     if (m->drain) drain += t->cpus;
-    services += services_on(m);
+    services += m->services;
   }
-  HASH_ITER(hh, k->c->rep.jobs, j, jt)
-  if (!j->fin) waiting += (j->spec.tasks - j->n_done - j->n_placed) * j->spec.cpus;
   tmx_log(
       TMX_INFO,
       "use: %zu machines (%zu not usable), CPUs booked %.0f of %.0f, spot %.0f of %.0f, services "
       "%.0f, being returned %.0f, waiting %.0f",
-      n, unusable, booked[0], cpus[0], booked[1], cpus[1], services, drain, waiting);
+      n, unusable, booked[0], cpus[0], booked[1], cpus[1], services, drain, k->c->rep.asked);
 }
 
 void tmx_cloud_sweep(struct tmx_cloud *k) {
@@ -180,15 +178,9 @@
   size_t max = TMX_DELETE_MAX;
   double silent = c->set.op.silent_s > 0 ? c->set.op.silent_s : TMX_SILENT_S;
   bool settled = now - k->led_since > TMX_SETTLE_S;
-  struct tmx_job *j, *jt;
-  double asked = 0;
-  HASH_ITER(hh, r->jobs, j, jt) {
-    if (j->fin || j->spec.tasks <= j->n_done + j->n_placed) continue;
-    asked += (j->spec.tasks - j->n_done - j->n_placed) * j->spec.cpus;
-  }
   struct tmx_machine *m, *mt;
   struct tmx_zone_signs signs[TMX_ZONES_MAX] = {{0}};
-  double room = 0, services = 0, booked = 0;
+  double room = 0, services = 0;
   bool heard[TMX_MEMBERS_MAX];
   unsigned n_heard = 0;
   for (size_t i = 0; i < r->view.n_members; i++) {
@@ -210,11 +202,10 @@
     if (!m->known) continue;
     const struct tmx_type *t = tmx_cloud_type(k, m->type);
     if (t && !m->drain) room += t->cpus - m->cpus;
-    booked += m->cpus;
-    services += services_on(m);
+    services += m->services;
   }
   /* among thousands of tasks some always wait for a moment */
-  bool waiting = asked > TMX_WAITING_SHARE * (room + booked);
+  bool waiting = r->asked > TMX_WAITING_SHARE * (room + r->booked);
   /* A zone that is silent as a whole is cut off from us, or we from it, and its work may go on.
    * Machines that died show as failed in the list soon; the others come back with what they have,
    * and what they hold could hardly run elsewhere. So nothing of it is given up for silence before
@@ -251,7 +242,7 @@
     if (l && l->state == LS_FAILED)
       why = "failed";
     else if (settled && lost && x.silence > silent &&
-             (!spared || x.silence > given_up * (services_on(m) > 0 ? 2 : 1)))
+             (!spared || x.silence > given_up * (m->services > 0 ? 2 : 1)))
       why = "silent";
     else if (settled && doubt && !spared &&
              x.silence < c->set.report_s * 1.25 + TMX_REPORT_LATE_S &&
@@ -285,7 +276,7 @@
     }
   }
   /* what is out of reach is no room: nothing else is returned for it */
-  shrink(k, booked + asked, waiting || cut);
+  shrink(k, waiting || cut);
   struct empty *e, *et;
   HASH_ITER(hh, k->empties, e, et) {
     if (tmx_machine_find(r, e->id)) continue;
--- a/src/controller.c
+++ b/src/controller.c
@@ -248,7 +248,10 @@
   struct tmx_ctl *c = w->data;
   double now = tmx_now();
   /* it stood still, or has more to do than its processor allows: time is missing here */
-  if (c->tick_at && now - c->tick_at > TMX_TICK_S + TMX_LATE_S) c->late_at = now;
+  if (c->tick_at && now - c->tick_at > TMX_TICK_S + TMX_LATE_S) {
+    c->late_at = now;
+    tmx_log(TMX_INFO, "loop: %.2f s late", now - c->tick_at - TMX_TICK_S);
+  }
   c->tick_at = now;
   /* coming back from a cut it hears the others one after the other: the last one is not lost */
   if (c->late_at == now || now - tmx_link_confirmed(c->link) > TMX_STATE_LOST_S ||
--- a/src/state/lines.c
+++ b/src/state/lines.c
@@ -137,15 +137,41 @@
   return snprintf(out, cap, "%c %s/%u %u %c", o->op, o->job, o->task, o->attempt, o->how);
 }
 
+/* Lines are read by the thousand when a controller starts: they are split in place. */
+size_t tmx_line_fields(char *line, char **f, size_t max) {
+  size_t n = 0;
+  for (char *p = line; n < max; n++) {
+    while (*p == ' ') p++;
+    if (!*p) break;
+    f[n] = p;
+    while (*p && *p != ' ') p++;
+    if (*p) *p++ = 0;
+  }
+  return n;
+}
+
+bool tmx_line_u32(const char *s, uint32_t *v) {
+  uint64_t x = 0;
+  const char *p = s;
+  for (; *p >= '0' && *p <= '9' && x <= UINT32_MAX; p++) x = x * 10 + (uint64_t)(*p - '0');
+  *v = (uint32_t)x;
+  return p > s && !*p && x <= UINT32_MAX;
+}
+
 bool tmx_op_parse(const char *s, struct tmx_op *o) {
-  char task[TMX_ID_MAX + 16], last[TMX_ID_MAX];
+  char line[TMX_LINE_MAX], *f[4];
   memset(o, 0, sizeof *o);
-  if (sscanf(s, "%c %47s %u %31s", &o->op, task, &o->attempt, last) != 4) return false;
-  if (!tmx_task_parse(task, o->job, sizeof o->job, &o->task)) return false;
+  if (strlen(s) >= sizeof line) return false;
+  strcpy(line, s);
+  if (tmx_line_fields(line, f, 4) != 4 || f[0][1] || strlen(f[3]) >= sizeof o->machine)
+    return false;
+  o->op = f[0][0];
+  if (!tmx_task_parse(f[1], o->job, sizeof o->job, &o->task) || !tmx_line_u32(f[2], &o->attempt))
+    return false;
   if (o->op == TMX_OP_PLACE)
-    strcpy(o->machine, last);
+    strcpy(o->machine, f[3]);
   else
-    o->how = last[0];
+    o->how = f[3][0];
   return o->op == TMX_OP_PLACE || o->op == TMX_OP_STOP || o->op == TMX_OP_END;
 }
 
--- a/src/state/replica.c
+++ b/src/state/replica.c
@@ -62,6 +62,7 @@
   r->n_wrote = 0;
   memset(&r->view, 0, sizeof r->view);
   memset(r->usage, 0, sizeof r->usage);
+  r->booked = r->asked = 0;
   r->n_nodes = 0;
   r->leader[0] = 0;
   r->leader_stamp = r->rev = r->head = r->load_until = 0;
@@ -160,7 +161,13 @@
   m->changes++;
   if (r->on_machine) r->on_machine(r->arg, m);
 }
+static void count_asked(struct tmx_replica *r, struct tmx_job *j) {
+  double asked = j->fin ? 0 : (j->spec.tasks - j->n_done - j->n_placed) * j->spec.cpus;
+  r->asked += asked - j->asked;
+  j->asked = asked;
+}
 static void job_touched(struct tmx_replica *r, struct tmx_job *j) {
+  count_asked(r, j);
   bool waits = !j->fin && j->spec.tasks > j->n_done + j->n_placed;
   if (!waits)
     j->stuck_since = 0;
@@ -175,7 +182,9 @@
 static void book(struct tmx_replica *r, struct tmx_task *t, int sign) {
   const struct tmx_spec *s = &t->job->spec;
   struct tmx_machine *m = t->machine;
+  r->booked += sign * s->cpus;
   m->cpus += sign * s->cpus;
+  if (s->service) m->services += sign * s->cpus;
   m->gpus += sign * s->gpus;
   m->mem += sign * s->mem;
   if (m->zone >= 0) t->job->zone_live[m->zone] += (uint32_t)sign;
@@ -196,7 +205,7 @@
   struct tmx_machine *m = t->machine;
   book(r, t, -1);
   DL_DELETE(m->tasks, t);
-  if (--m->n_tasks == 0) m->cpus = m->gpus = m->mem = 0;
+  if (--m->n_tasks == 0) m->cpus = m->gpus = m->mem = m->services = 0;
   t->job->n_placed--;
   t->machine = NULL;
   t->prev = t->next = NULL;
@@ -410,29 +419,28 @@
   }
 }
 
-static void apply_machine(struct tmx_replica *r, const char *line) {
-  char id[TMX_ID_MAX], addr[TMX_NAME_MAX], type[TMX_ID_MAX], zone[TMX_NAME_MAX];
-  int spot, drain;
-  if (line[0] == TMX_LINE_MACHINE) {
-    if (sscanf(line, "m %31s %63s %31s %63s %d %d", id, addr, type, zone, &spot, &drain) != 6)
-      return;
+static void apply_machine(struct tmx_replica *r, char *line) {
+  char *f[7], kind = line[0];
+  size_t n = tmx_line_fields(line, f, 7);
+  if (n < 2 || strlen(f[1]) >= TMX_ID_MAX) return;
+  const char *id = f[1];
+  if (kind == TMX_LINE_MACHINE) {
+    if (n != 7 || strlen(f[2]) >= TMX_NAME_MAX || strlen(f[3]) >= TMX_ID_MAX) return;
     struct tmx_machine *m = machine_make(r, id);
-    snprintf(m->addr, sizeof m->addr, "%s", addr);
-    snprintf(m->type, sizeof m->type, "%s", type);
-    set_zone(m, tmx_zone_index(r->set, zone));
+    snprintf(m->addr, sizeof m->addr, "%s", f[2]);
+    snprintf(m->type, sizeof m->type, "%s", f[3]);
+    set_zone(m, tmx_zone_index(r->set, f[4]));
     m->owner = owner_index(r, id, m->zone);
-    m->spot = spot != 0;
-    m->drain = drain != 0;
+    m->spot = f[5][0] != '0';
+    m->drain = f[6][0] != '0';
     m->known = true;
     touched(r, m);
-  } else if (line[0] == TMX_LINE_DRAIN) {
-    if (sscanf(line, "d %31s %d", id, &drain) != 2) return;
+  } else if (kind == TMX_LINE_DRAIN) {
     struct tmx_machine *m = tmx_machine_find(r, id);
-    if (!m) return;
-    m->drain = drain != 0;
+    if (n != 3 || !m) return;
+    m->drain = f[2][0] != '0';
     touched(r, m);
   } else {
-    if (sscanf(line, "x %31s", id) != 1) return;
     if (HASH_COUNT(r->gone) >= TMX_GONE_KEPT) keep_key(&r->gone, r->gone->key, 0, false);
     keep_key(&r->gone, id, 1, true);
     struct tmx_machine *m = tmx_machine_find(r, id);
@@ -446,13 +454,14 @@
 }
 
 /* A page holds the state of runs of tasks as of its own version. */
-static void apply_run(struct tmx_replica *r, const char *line) {
-  char task[TMX_ID_MAX + 16], id[TMX_ID_MAX], machine[TMX_ID_MAX], state;
-  unsigned n, attempt;
-  uint32_t from;
-  if (sscanf(line, "t %47s %u %u %c %31s", task, &n, &attempt, &state, machine) != 5 ||
-      !tmx_task_parse(task, id, sizeof id, &from))
+static void apply_run(struct tmx_replica *r, char *line) {
+  char id[TMX_ID_MAX], *f[6];
+  uint32_t from, n, attempt;
+  if (tmx_line_fields(line, f, 6) != 6 || strlen(f[5]) >= TMX_ID_MAX ||
+      !tmx_task_parse(f[1], id, sizeof id, &from) || !tmx_line_u32(f[2], &n) ||
+      !tmx_line_u32(f[3], &attempt))
     return;
+  const char state = f[4][0], *machine = f[5];
   struct tmx_job *j = tmx_job_find(r, id);
   if (!j || !j->tasks) return;
   for (uint32_t i = from; n && i < j->spec.tasks; i++, n--) {
@@ -643,6 +652,11 @@
     machine_forget(r, m);
   }
   struct tmx_job *j, *jt;
-  HASH_ITER(hh, r->jobs, j, jt) release(r, j);
+  r->asked = 0;
+  HASH_ITER(hh, r->jobs, j, jt) {
+    j->asked = 0;
+    count_asked(r, j); /* pages count results without a word */
+    release(r, j);
+  }
   changed(r);
 }
--- a/src/state/replica.h
+++ b/src/state/replica.h
@@ -69,6 +69,7 @@
   uint32_t zone_live[TMX_ZONES_MAX]; /* placed, by zone */
   double fin_after;   /* steady clock, s: its final state was committed after this; 0: not known */
   double stuck_since; /* steady clock, s: tasks wait, and none was placed, since; 0: none waits */
+  double asked;       /* CPUs of its tasks that wait, as counted in the replica's */
   double answered_at; /* steady clock, s: a user was last told of it here */
   double longest;     /* s: the longest run of a task that was seen to its end */
   uint32_t fails;     /* errors in a row */
@@ -92,6 +93,7 @@
   uint32_t changes;       /* counts what on_machine was told */
   int owner;              /* member index; -1: no view */
   double cpus, gpus, mem; /* booked */
+  double services;        /* of these CPUs, those of services */
   uint32_t errors;        /* failures in a row, and of how many jobs at least */
   char error_job[TMX_ID_MAX];
   bool error_two;
@@ -171,7 +173,8 @@
   size_t n_classes;
   struct tmx_image_name *images; /* names are compared once: numbers from here on */
   struct tmx_usage usage[TMX_TEAMS_MAX];
-  double now;     /* steady clock at the latest event, set by the caller */
+  double booked, asked; /* CPUs of all that is placed, and of all that waits */
+  double now;           /* steady clock at the latest event, set by the caller */
   double sure_at; /* ... when a read began of whose revision the copy has all; set by the caller */
   /* told of what changed; may be NULL */
   void *arg;
@@ -252,6 +255,8 @@
 };
 int tmx_op_print(char *out, size_t cap, const struct tmx_op *o);
 bool tmx_op_parse(const char *s, struct tmx_op *o);
+size_t tmx_line_fields(char *line, char **f, size_t max); /* splits it in place; how many */
+bool tmx_line_u32(const char *s, uint32_t *v);
 
 static inline uint32_t tmx_task_index(const struct tmx_task *t) {
   return (uint32_t)(t - t->job->tasks);
--- a/src/worker/worker.c
+++ b/src/worker/worker.c
@@ -79,6 +79,8 @@
   }
   for (size_t i = 0; r->queued && i < w->n_queue; i++)
     if (w->queue[i] == r) w->queue[i] = NULL;
+  for (size_t i = 0; r->may_end && i < w->n_ending; i++)
+    if (w->ending[i] == r) w->ending[i] = NULL;
   if (r->m) r->m->worker = NULL;
   free(r->loads);
   free(r);
@@ -91,6 +93,7 @@
     worker_free(w, r);
   }
   free(w->queue);
+  free(w->ending);
   free(w);
 }
 
@@ -98,14 +101,18 @@
   struct tmx_workers *w = r->w;
   if (r->queued) return;
   r->queued = true;
-  if (w->n_queue == w->cap_queue) {
-    w->cap_queue = w->cap_queue * 2 + 64;
-    w->queue = realloc(w->queue, w->cap_queue * sizeof *w->queue);
-    if (!w->queue) abort();
-  }
+  w->queue = tmx_grow(w->queue, &w->cap_queue, w->n_queue + 1, sizeof *w->queue);
   w->queue[w->n_queue++] = r;
 }
 
+static void may_end(struct worker *r) {
+  struct tmx_workers *w = r->w;
+  if (r->may_end) return;
+  r->may_end = true;
+  w->ending = tmx_grow(w->ending, &w->cap_ending, w->n_ending + 1, sizeof *w->ending);
+  w->ending[w->n_ending++] = r;
+}
+
 static bool own(struct tmx_workers *w, const struct worker *r) {
   if (!tmx_link_member(w->c->link)) return false;
   if (r->m && r->m->known) return r->m->owner >= 0 && r->m->owner == tmx_ctl_self(w->c);
@@ -226,7 +233,7 @@
                 tmx_task_index(t), t->attempt, r->id, t->job->spec.image, tmx_now() - t->placed_at);
     }
     if (!(listed && t->report_state == LD_EXITED) && !leaving) continue;
-    r->may_end = true;
+    may_end(r);
     if (listed && t->report_state == LD_EXITED && t->stop)
       tmx_rounds_kick(w->c); /* somebody waits for this room */
     else
@@ -311,9 +318,10 @@
   r->n_loads = n;
   if (!++w->reports) w->reports = 1;
   r->report = w->reports;
-  if (!r->m || !r->m->known)
+  if (!r->m || !r->m->known) {
+    w->unknown_at = now;
     tmx_rounds_kick(w->c);
-  else
+  } else
     note_report(w, r);
   return true;
 }
@@ -449,7 +457,8 @@
     if (!r) return;
     r->m = m;
   }
-  r->dirty = r->may_end = true;
+  r->dirty = true;
+  may_end(r);
   queue(r);
 }
 
@@ -637,10 +646,14 @@
 /* ------------------------------------------------------------ for the rounds */
 
 size_t tmx_workers_ends(struct tmx_workers *w, struct tmx_op *ops, size_t max) {
-  size_t n = 0;
-  struct worker *r, *tmp;
-  HASH_ITER(hh, w->all, r, tmp) {
-    if (!r->may_end || n == max) continue;
+  size_t n = 0, left = 0;
+  for (size_t i = 0; i < w->n_ending; i++) {
+    struct worker *r = w->ending[i];
+    if (!r) continue;
+    if (n == max) {
+      w->ending[left++] = r;
+      continue;
+    }
     if (!r->m || !r->m->known || !r->m->tasks || !r->session || !tmx_worker_own(w, r)) {
       r->may_end = false; /* set again by whatever changes this */
       continue;
@@ -666,7 +679,9 @@
       snprintf(o->job, sizeof o->job, "%s", t->job->id);
     }
     r->may_end = later;
+    if (later) w->ending[left++] = r;
   }
+  w->n_ending = left;
   return n;
 }
 
@@ -676,6 +691,7 @@
   size_t n = 0;
   double now = tmx_now();
   struct worker *r, *tmp;
+  if (!w->unknown_at || now - w->unknown_at > 2 * w->c->set.report_s) return 0;
   HASH_ITER(hh, w->all, r, tmp) {
     if (n == max) break;
     if ((r->m && r->m->known) || !r->session || !r->heard_at) continue;
--- a/src/worker/worker.h
+++ b/src/worker/worker.h
@@ -39,7 +39,7 @@
   bool starts_out;        /* a response with starts was sent; the next report tells */
   bool heir;              /* nothing has shown yet that a report was sent after this owner came */
   bool in_flight, unanswered;
-  bool dirty, queued, may_end;
+  bool dirty, queued, may_end; /* queued, may_end: in the list of those */
   /* probes */
   bool probe_busy;
   int probes_lost; /* in a row */
@@ -59,6 +59,9 @@
   struct worker *all;
   struct worker **queue; /* whose orders may differ */
   size_t n_queue, cap_queue;
+  struct worker **ending; /* whose reports may prove an end; NULL: gone */
+  size_t n_ending, cap_ending;
+  double unknown_at; /* latest report of a machine that is not registered */
   int n_held, n_clients;
   uint32_t reports;
   double report_at, sweep_at, probe_tokens;
--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -521,6 +521,48 @@
   assert_int_equal(w.executed_starts + others[0].executed_starts + others[1].executed_starts, 5);
 }
 
+/* Who comes to lead knows the peak of what was in use, since every controller keeps it: what is not
+ * needed is returned at once, and not only after the next minute. */
+static void an_heir_knows_the_peak(void **st) {
+  (void)st;
+  up(&w);
+  for (int i = 0; i < 2; i++) up(&others[i]);
+  struct tmx_ctl *old = tmx_link_leading(a->link) ? a : b, *next = old == a ? b : a;
+  struct fake_worker *all[] = {&w, &others[0], &others[1]};
+  /* one task more than the limit of the team: while it waits nothing is returned */
+  assert_int_equal(submit(a, "wk-000001", "batch", 5, 2, "t"), 201);
+  for (int i = 0; i <= TMX_PEAK_S / TMX_DEMAND_GAP_S; i++) {
+    tmx_clock_shift(TMX_DEMAND_GAP_S - 1);
+    for (int k = 0; k < 3; k++) {
+      worker_report(all[k], a);
+      if (all[k]->status != 200) worker_report(all[k], b);
+    }
+    pump_for(1);
+  }
+  struct tmx_buf v = {0};
+  tmx_w_map(&v, 2);
+  tmx_w_kstr(&v, "name", next->set.node);
+  tmx_w_ku64(&v, "inc", tmx_link_inc(next->link));
+  fake_put(TMX_K_LEADER, &v);
+  tmx_buf_free(&v);
+  bool drained = false;
+  for (int k = 0; k < 3; k++) assert_false(tmx_machine_find(&next->rep, all[k]->id)->drain);
+  assert_int_equal(cloud.deletes, 0);
+  assert_string_equal(cancel_job(a, "wk-000001").state, WV_CANCELLED);
+  double since = tmx_now();
+  while (tmx_now() - since < TMX_SETTLE_S + TMX_DRAIN_SPACING_S + 2) {
+    for (int k = 0; k < 3; k++) {
+      worker_report(all[k], a);
+      if (all[k]->status != 200) worker_report(all[k], b);
+      struct tmx_machine *m = tmx_machine_find(&next->rep, all[k]->id);
+      drained |= !m || m->drain;
+    }
+    pump_for(0.5);
+  }
+  assert_true(tmx_link_leading(next->link));
+  assert_true(drained);
+}
+
 /* ------------------------------------------------------------ machines */
 
 /* A machine that answers and cannot report renews no lease: it gets nothing new, and is replaced
@@ -648,6 +690,7 @@
       cmocka_unit_test_setup_teardown(ends_far_apart, setup, teardown),
       cmocka_unit_test_setup_teardown(leaders_change_ten_times, setup_two, teardown),
       cmocka_unit_test_setup_teardown(limit_with_a_machine_out_of_reach, setup, teardown),
+      cmocka_unit_test_setup_teardown(an_heir_knows_the_peak, setup_two, teardown),
       cmocka_unit_test_setup_teardown(answers_and_cannot_report, setup, teardown),
       cmocka_unit_test_setup_teardown(job_of_one_zone_loses_its_machine, setup, teardown),
       cmocka_unit_test_setup_teardown(bad_input_in_trouble, setup, teardown),
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -1,6 +1,7 @@
 /* The replica: the log, loading at mixed revisions, ownership. */
 #include "test.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -21,9 +22,30 @@
   tmx_replica_init(&rep, &set);
   return 0;
 }
+/* What is kept as sums is what a count of everything gives, after every test: renting, returning
+ * and a new leader's view of the peak rest on it. */
+static int sums_are_off(void) {
+  struct tmx_job *j, *jt;
+  struct tmx_machine *m, *mt;
+  double booked = 0, asked = 0;
+  int off = 0;
+  HASH_ITER(hh, rep.machines, m, mt) {
+    double services = 0;
+    for (const struct tmx_task *t = m->tasks; t; t = t->next)
+      if (t->job->spec.service) services += t->job->spec.cpus;
+    booked += m->cpus;
+    off |= fabs(services - m->services) > 1e-6;
+  }
+  HASH_ITER(hh, rep.jobs, j, jt)
+  if (!j->fin) asked += (j->spec.tasks - j->n_done - j->n_placed) * j->spec.cpus;
+  return off | (rep.loaded && fabs(booked - rep.booked) > 1e-6) |
+         (rep.loaded && fabs(asked - rep.asked) > 1e-6);
+}
 static int teardown(void **st) {
   (void)st;
+  int off = sums_are_off();
   tmx_replica_clear(&rep);
+  if (off) return -1;
   return 0;
 }
 
