--- a/include/tmx/wire.h
+++ b/include/tmx/wire.h
@@ -98,6 +98,7 @@
 #define WV_FORGET "reap"
 #define WV_BOOTING "booting"
 #define WV_FAILED "failed"
+#define WV_NO_LEASE "no such lease" /* an error of the state service */
 #define WV_STOPPED "stopped"
 #define WV_ERROR "error"
 
--- a/src/state/link.c
+++ b/src/state/link.c
@@ -21,6 +21,7 @@
   struct tmx_link *k;
   tmx_txn_cb cb;
   void *arg;
+  uint64_t lease; /* that stood when it was sent */
 };
 
 struct tmx_link {
@@ -430,7 +431,15 @@
     res = TMX_TXN_CONFLICT;
   else if (status == 400 || status == 404 || status == 429 || status == 503 || status == -1)
     res = TMX_TXN_REFUSED;
-  if (status == 400) tmx_log(TMX_ERROR, "state: a transaction was refused: %s", why);
+  if (status == 400 && !strcmp(why, WV_NO_LEASE) && p->lease == p->k->lease) {
+    /* nothing can be put with it any more: a new one is asked for at once, not when a renewal fails
+     */
+    tmx_log(TMX_INFO, "state: the lease lapsed, registering again");
+    p->k->lease = p->k->inc = 0;
+    p->k->lease_at = -TMX_LEASE_RENEW_S;
+  } else if (status == 400) {
+    tmx_log(TMX_ERROR, "state: a transaction was refused: %s", why);
+  }
   if (status == 429) { /* others used more than their share */
     if (p->k->tokens > 0) p->k->tokens = 0;
     p->k->pool = 0;
@@ -458,6 +467,7 @@
     p->k = k;
     p->cb = cb;
     p->arg = arg;
+    p->lease = k->lease;
     ok = tmx_client_call(k->calls, "POST", WP_TXN, &b, TMX_STATE_TIMEOUT_S, on_txn, p);
     if (!ok) free(p);
     tmx_buf_free(&b);
--- a/tests/fake.c
+++ b/tests/fake.c
@@ -145,6 +145,12 @@
   serve_watches();
 }
 
+void fake_drop(const char *key) {
+  state.rev++;
+  drop(key);
+  serve_watches();
+}
+
 static void reply_rev(struct tmx_req *q, int status) {
   struct tmx_buf b = {0};
   tmx_w_map(&b, 1);
@@ -209,6 +215,14 @@
   return false;
 }
 
+static bool uses_lapsed(const cbor_item_t *then) {
+  uint64_t lease;
+  for (size_t i = 0; i < tmx_r_len(then); i++)
+    if (tmx_r_ku64(tmx_r_at(then, i), W_LEASE, &lease) && lease && lease <= state.lapsed)
+      return true;
+  return false;
+}
+
 /* q NULL: late, nobody waits for its answer. */
 static int txn(struct fake_door *d, struct tmx_req *q, const uint8_t *body, size_t len) {
   cbor_item_t *m = tmx_cbor_parse(body, len);
@@ -242,6 +256,16 @@
     if (q) reply_rev(q, 409);
     return 409;
   }
+  if (uses_lapsed(then)) {
+    struct tmx_buf b = {0};
+    state.lapsed_puts++;
+    tmx_cbor_free(m);
+    tmx_w_map(&b, 1);
+    tmx_w_kstr(&b, "error", WV_NO_LEASE);
+    if (q) tmx_req_reply(q, 400, &b, 0);
+    tmx_buf_free(&b);
+    return 400;
+  }
   state.rev++;
   state.commits++;
   for (size_t i = 0; i < tmx_r_len(then); i++) {
--- a/tests/fake.h
+++ b/tests/fake.h
@@ -50,6 +50,8 @@
   struct fake_watch w[32];
   size_t n_w;
   uint64_t rev, leases;
+  uint64_t lapsed; /* leases up to this one are over: puts with them are refused */
+  unsigned lapsed_puts;
   unsigned commits, conflicts;
   size_t value_max; /* bytes as JSON; 0: no limit */
   unsigned too_large;
@@ -106,6 +108,7 @@
 int fake_late(
     struct fake_door *d); /* carries the late transaction out: 200, 409; 0: there is none */
 void fake_put(const char *key, const struct tmx_buf *value); /* as another client would */
+void fake_drop(const char *key);
 const struct fake_entry *fake_get(const char *key);
 bool fake_logged(const char *line); /* a batch that stands holds it */
 unsigned fake_placed(void);         /* place lines in the log that have no end */
--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -393,6 +393,19 @@
   assert_int_equal(w.executed_starts, 1);
 }
 
+/* Refused alone for longer than its lease, it comes back and learns from the first put that the
+ * lease is over: it does not try again with it until a renewal says so. */
+static void lapsed_lease_of_a_controller(void **st) {
+  (void)st;
+  uint64_t run = tmx_link_inc(a->link);
+  state.lapsed = state.leases;
+  fake_drop(TMX_K_NODE "hand-0");
+  pump_for(0.3);
+  assert_true(pump(typed, a));
+  assert_true(tmx_link_inc(a->link) > run);
+  assert_int_equal(state.lapsed_puts, 1);
+}
+
 /* ------------------------------------------------------------ changes of leader */
 
 /* Two tasks that end far apart, over restarts, with a fold in between, and all controllers away for
@@ -687,6 +700,7 @@
       cmocka_unit_test_setup_teardown(probe_overtakes_a_report, setup, teardown),
       cmocka_unit_test_setup_teardown(late_batch, setup, teardown),
       cmocka_unit_test_setup_teardown(late_put_of_the_node_key, setup, teardown),
+      cmocka_unit_test_setup_teardown(lapsed_lease_of_a_controller, setup, teardown),
       cmocka_unit_test_setup_teardown(ends_far_apart, setup, teardown),
       cmocka_unit_test_setup_teardown(leaders_change_ten_times, setup_two, teardown),
       cmocka_unit_test_setup_teardown(limit_with_a_machine_out_of_reach, setup, teardown),
