Pages of a fold that was given up are passed over when keys are read

A leader that crashes in a fold leaves pages behind; a job that was placed in them and ended before the next fold's mark is in no page of that fold, and the batch of its end counts no more. Whoever read the keys then kept its places booked, and its team nearer to its limit. Ruled out: batches (each is checked on all before it), results in batches and keys. Test: pages_of_a_fold_given_up, which fails without the change. The test of pages now has the mark that its pages belong to: without one they are of no fold that ended. If the mark moves while keys are read, they are read again.

--- a/src/state/link.c
+++ b/src/state/link.c
@@ -192,6 +192,8 @@
     return;
   }
   const cbor_item_t *ev = tmx_r_get(m, W_EVENTS);
+  uint64_t fold = k->rep->fold_stamp;
+  bool was_loaded = k->rep->loaded;
   k->rep->now = tmx_now();
   refill(k);
   k->pool -= (double)tmx_r_len(ev);
@@ -206,8 +208,16 @@
     else if (tmx_r_kstr(e, W_DROP, key, sizeof key))
       tmx_replica_apply(k->rep, key, stamp, NULL);
   }
-  tmx_replica_reached(k->rep, rev);
   tmx_cbor_free(m);
+  if (!was_loaded && k->rep->fold_stamp != fold) {
+    /* The mark moved while keys were read: its pages were passed over, and those of the mark before
+     * it may have been dropped already. */
+    tmx_log(TMX_INFO, "state: a fold ended meanwhile, all keys are read again");
+    k->rep->rev = 0;
+    again(k, 0);
+    return;
+  }
+  tmx_replica_reached(k->rep, rev);
   settle(k);
   /* Watches are opened at once while there is room for it in this controller's share of requests:
    * whoever lags behind the log loses the race for head. */
--- a/src/state/replica.c
+++ b/src/state/replica.c
@@ -600,7 +600,10 @@
     if (j) j->stamp = stamp;
   } else if (after(key, TMX_K_PAGE, &rest)) {
     keep_key(&r->pages, key, stamp, v != NULL);
-    if (v && !r->loaded) apply_lines(r, v); /* a complete copy has it already */
+    /* A complete copy has it already. Pages of a fold that was given up tell of tasks whose ends
+     * may lie before the mark that stands: of a job that is over no page of this fold would put
+     * that right. */
+    if (v && !r->loaded && strtoull(rest, NULL, 16) == r->fold_gen) apply_lines(r, v);
   } else if (!strcmp(key, TMX_K_FOLD)) {
     r->fold_stamp = v ? stamp : 0;
     tmx_r_ku64(v, "mark", &r->fold_mark);
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -209,7 +209,8 @@
   tmx_lines_encode(&v, &jobs, 1, &lines, 4);
   tmx_buf_free(&jobs);
   tmx_buf_free(&lines);
-  put(TMX_K_PAGE "000000000000000c/00000", 5, &v);
+  put_fold(6, 4); /* its key is read first */
+  put(TMX_K_PAGE "0000000000000004/00000", 5, &v);
   put_batch("9", 8, "p wk-1/7 1 n-1");
   tmx_replica_reached(&rep, 9);
   struct tmx_job *j = tmx_job_find(&rep, "wk-1");
@@ -227,6 +228,32 @@
   assert_int_equal(len, 0);
 }
 
+/* A fold that was given up leaves pages behind. A job that was placed in them and ended before the
+ * mark of the next fold is in no page of that one, and its end's batch counts no more: the place
+ * would stay booked, and its team nearer to its limit, for as long as this copy lives. */
+static void pages_of_a_fold_given_up(void **st) {
+  (void)st;
+  struct tmx_buf jobs = {0}, lines = {0}, v = {0};
+  rep.load_until = 30;
+  put_fold(20, 12);
+  put_job(10, TMX_FIN_DONE);
+  tmx_w_str(&lines, "m n-1 127.0.0.1:1 big a 0 0");
+  tmx_w_str(&lines, "t wk-1/0 1 1 p n-1");
+  tmx_lines_encode(&v, &jobs, 0, &lines, 2);
+  put(TMX_K_PAGE "0000000000000005/00000", 7, &v); /* of the one given up */
+  put_batch("1", 9, "e wk-1/0 1 d");
+  v.n = lines.n = 0;
+  tmx_w_str(&lines, "m n-1 127.0.0.1:1 big a 0 0");
+  tmx_lines_encode(&v, &jobs, 0, &lines, 1);
+  put(TMX_K_PAGE "000000000000000c/00000", 14, &v);
+  tmx_buf_free(&lines);
+  tmx_replica_reached(&rep, 30);
+  assert_true(tmx_machine_find(&rep, "n-1")->known);
+  assert_true(tmx_machine_find(&rep, "n-1")->cpus == 0);
+  assert_true(rep.usage[0].cpus == 0);
+  assert_int_equal(tmx_job_find(&rep, "wk-1")->n_placed, 0);
+}
+
 /* Estimates that are mostly too low are corrected by the class's own runs; one far-off task hardly
  * counts, and other classes are not touched. */
 static void run_times_are_learned(void **st) {
@@ -362,6 +389,7 @@
       cmocka_unit_test_setup_teardown(load_settles_lost_machines, setup, teardown),
       cmocka_unit_test_setup_teardown(batches_before_the_mark_do_not_count, setup, teardown),
       cmocka_unit_test_setup_teardown(pages, setup, teardown),
+      cmocka_unit_test_setup_teardown(pages_of_a_fold_given_up, setup, teardown),
       cmocka_unit_test_setup_teardown(run_times_are_learned, setup, teardown),
       cmocka_unit_test_setup_teardown(checked_again_after_a_lost_race, setup, teardown),
       cmocka_unit_test_setup_teardown(ownership, setup, teardown),
