--- a/src/controller.h
+++ b/src/controller.h
@@ -55,6 +55,7 @@
 /* src/rounds.c: rounds of placing, and the batches that they write */
 struct tmx_rounds *tmx_rounds_new(struct tmx_ctl *c);
 void tmx_rounds_free(struct tmx_rounds *p);
+bool tmx_rounds_planning(const struct tmx_rounds *p); /* for the tests: the planner has work */
 void tmx_rounds_kick(struct tmx_ctl *c);              /* something is worth a round now */
 void tmx_rounds_kick_in(struct tmx_ctl *c, double s); /* ... within this time */
 void tmx_rounds_machine(struct tmx_rounds *p, struct tmx_machine *m); /* it changed */
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -751,6 +751,8 @@
     begin(p);
 }
 
+bool tmx_rounds_planning(const struct tmx_rounds *p) { return p->step == PLANNING; }
+
 struct tmx_rounds *tmx_rounds_new(struct tmx_ctl *c) {
   struct tmx_rounds *p = calloc(1, sizeof *p);
   pthread_attr_t a;
--- a/tests/fake.c
+++ b/tests/fake.c
@@ -15,6 +15,7 @@
 struct ev_loop *loop;
 struct fake_state state;
 struct fake_cloud cloud;
+bool fake_apart;
 static int ports[FAKE_NODES][2]; /* port, and the socket that reserves it */
 
 /* ------------------------------------------------------------ running the loop */
@@ -306,13 +307,86 @@
   return res;
 }
 
+/* A read's answer, slow_s after it was carried out. */
+struct slow {
+  ev_timer t;
+  struct tmx_req *q;
+  struct tmx_buf body;
+  struct slow *next;
+};
+static struct slow *slow_answers;
+
+static void on_slow(struct ev_loop *l, ev_timer *t, int ev) {
+  (void)ev;
+  struct slow **at = &slow_answers, *x = t->data;
+  while (*at != x) at = &(*at)->next;
+  *at = x->next;
+  ev_timer_stop(l, t);
+  tmx_req_reply(x->q, 200, &x->body, 0);
+  tmx_buf_free(&x->body);
+  free(x);
+}
+
+static void answer_read(struct fake_door *d, struct tmx_req *q, struct tmx_buf *b) {
+  if (d->slow_s <= 0) {
+    tmx_req_reply(q, 200, b, 0);
+    return;
+  }
+  struct slow *x = calloc(1, sizeof *x);
+  x->q = q;
+  tmx_buf_add(&x->body, b->p, b->n);
+  x->next = slow_answers;
+  slow_answers = x;
+  ev_timer_init(&x->t, on_slow, d->slow_s, 0);
+  x->t.data = x;
+  ev_timer_start(loop, &x->t);
+}
+
+static void read_keys(struct fake_door *d, struct tmx_req *q) {
+  struct tmx_buf b = {0}, l = {0};
+  char prefix[128] = "", from[TMX_KEY_MAX + 1] = "";
+  const char *f = strstr(q->path, "from=");
+  size_t n = 0;
+  bool more = false;
+  d->reads++;
+  sscanf(strstr(q->path, "prefix=") + 7, "%127[^&]", prefix);
+  if (f) sscanf(f + 5, "%200[^&]", from);
+  for (size_t i = 0; i < state.n_e && !more; i++) {
+    const struct fake_entry *e = &state.e[i];
+    if (strncmp(e->key, prefix, strlen(prefix)) || (f && strcmp(e->key, from) <= 0)) continue;
+    more = d->page_max && n == d->page_max;
+    if (more) break;
+    w_entry(&l, W_KEY, e->key, e->value, e->len, e->stamp);
+    n++;
+  }
+  tmx_w_map(&b, 3);
+  tmx_w_str(&b, W_ITEMS);
+  tmx_w_list(&b, n);
+  tmx_buf_add(&b, l.p, l.n);
+  tmx_w_kbool(&b, W_MORE, more);
+  tmx_w_ku64(&b, W_REVISION, state.rev);
+  answer_read(d, q, &b);
+  tmx_buf_free(&b);
+  tmx_buf_free(&l);
+}
+
+void fake_read_on(struct fake_door *d) {
+  struct tmx_req *q = d->held_read;
+  d->held_read = NULL;
+  d->hold_from[0] = 0;
+  read_keys(d, q);
+}
+
 static void on_state(void *arg, struct tmx_req *q) {
   struct fake_door *d = arg;
-  if (!strncmp(q->path, WP_WATCH, strlen(WP_WATCH))) {
-    const char *f = strstr(q->path, "from=");
+  const char *from = strstr(q->path, "from=");
+  if (!strncmp(q->path, WP_WATCH, strlen(WP_WATCH)) && d->gone_watch) {
+    d->gone_watch = false;
+    tmx_req_reply(q, 410, NULL, 0);
+  } else if (!strncmp(q->path, WP_WATCH, strlen(WP_WATCH))) {
     assert_in_range(state.n_w, 0, 31);
     state.w[state.n_w++] =
-        (struct fake_watch){q, strtoull(f + 5, NULL, 10), (int)(d - state.doors)};
+        (struct fake_watch){q, strtoull(from + 5, NULL, 10), (int)(d - state.doors)};
     serve_watches();
   } else if (d->refuse) {
     tmx_req_reply(q, 503, NULL, 0);
@@ -324,26 +398,10 @@
     tmx_w_ku64(&b, W_LEASE, ++state.leases);
     tmx_req_reply(q, 200, &b, 0);
     tmx_buf_free(&b);
+  } else if (from && d->hold_from[0] && !strncmp(from + 5, d->hold_from, strlen(d->hold_from))) {
+    d->held_read = q;
   } else {
-    struct tmx_buf b = {0}, l = {0};
-    char prefix[128] = "";
-    size_t n = 0;
-    sscanf(strstr(q->path, "prefix=") + 7, "%127[^&]", prefix);
-    for (size_t i = 0; i < state.n_e; i++) {
-      const struct fake_entry *e = &state.e[i];
-      if (strncmp(e->key, prefix, strlen(prefix))) continue;
-      w_entry(&l, W_KEY, e->key, e->value, e->len, e->stamp);
-      n++;
-    }
-    tmx_w_map(&b, 3);
-    tmx_w_str(&b, W_ITEMS);
-    tmx_w_list(&b, n);
-    tmx_buf_add(&b, l.p, l.n);
-    tmx_w_kbool(&b, W_MORE, false);
-    tmx_w_ku64(&b, W_REVISION, state.rev);
-    tmx_req_reply(q, 200, &b, 0);
-    tmx_buf_free(&b);
-    tmx_buf_free(&l);
+    read_keys(d, q);
   }
 }
 
@@ -686,7 +744,7 @@
     if (i == k) continue;
     struct tmx_peer_conf *p = &s->peers[s->n_peers++];
     snprintf(p->name, sizeof p->name, "hand-%d", i);
-    snprintf(p->addr, sizeof p->addr, "127.0.0.1:%d", ports[i][0]);
+    snprintf(p->addr, sizeof p->addr, "127.0.0.1:%d", fake_apart ? 1 : ports[i][0]);
   }
   strcpy(s->zones[0], "a");
   s->n_zones = 1;
@@ -706,13 +764,28 @@
   s->sockets = 500;
 }
 
+static struct tmx_ctl *running[FAKE_NODES];
+
 struct tmx_ctl *controller(int k, int of) {
   static struct tmx_settings s;
   char err[256];
   fake_settings(&s, k, of);
   struct tmx_ctl *c = tmx_ctl_new(loop, &s, err, sizeof err);
   if (!c) fail_msg("%s", err);
-  return c;
+  assert_null(running[k]);
+  return running[k] = c;
+}
+
+void controller_end(struct tmx_ctl *c) {
+  for (int k = 0; k < FAKE_NODES; k++)
+    if (running[k] == c) running[k] = NULL;
+  tmx_ctl_free(c);
+}
+
+bool fake_planning(void) {
+  for (int k = 0; k < FAKE_NODES; k++)
+    if (running[k] && tmx_rounds_planning(running[k]->rounds)) return true;
+  return false;
 }
 
 void fake_open(void) {
@@ -728,6 +801,8 @@
 }
 
 void fake_close(void) {
+  while (slow_answers) on_slow(loop, &slow_answers->t, 0);
+  fake_apart = false;
   for (int i = 0; i < FAKE_NODES; i++)
     if (state.doors[i].held) tmx_req_reply(state.doors[i].held, 500, NULL, 0);
   for (size_t i = 0; i < state.n_w; i++) tmx_req_reply(state.w[i].req, 503, NULL, 0);
--- a/tests/fake.h
+++ b/tests/fake.h
@@ -31,8 +31,14 @@
 struct fake_door {
   struct fake_state *s;
   struct tmx_server *srv;
-  bool refuse;        /* 503 to everything; open watches wait */
-  bool freeze_watch;  /* events do not come through */
+  bool refuse;       /* 503 to everything; open watches wait */
+  bool freeze_watch; /* events do not come through */
+  bool gone_watch;   /* the next watch is told that its revision is too old */
+  double slow_s;     /* reads are carried out at once and answered after this */
+  unsigned reads;
+  size_t page_max;    /* entries in one answer; 0: all */
+  char hold_from[64]; /* a read from there on waits for fake_read_on */
+  struct tmx_req *held_read;
   bool lose_next_txn; /* the next transaction is applied, its answer is lost */
   char lose_key[64];  /* ... only one that writes this key */
   bool hold;          /* ... and does not come at all rather than say nothing */
@@ -96,17 +102,21 @@
 extern struct ev_loop *loop;
 extern struct fake_state state;
 extern struct fake_cloud cloud;
+extern bool fake_apart; /* controllers made from now on do not reach their peers */
 
 void fake_open(void);
 void fake_close(void);
 void fake_settings(struct tmx_settings *s, int k, int of); /* of hand-k among `of` controllers */
 struct tmx_ctl *controller(int k, int of);
+void controller_end(struct tmx_ctl *c); /* it ends without a word, as a killed process does */
+bool fake_planning(void);               /* a planner's thread has work */
 struct tmx_client *to(struct tmx_ctl *c);
 bool pump(bool (*done)(void *), void *arg); /* runs the loop until done; false after 10 s */
 void pump_for(double s);
 void fake_free_watches(void);
 int fake_late(
     struct fake_door *d); /* carries the late transaction out: 200, 409; 0: there is none */
+void fake_read_on(struct fake_door *d);
 void fake_put(const char *key, const struct tmx_buf *value); /* as another client would */
 void fake_drop(const char *key);
 const struct fake_entry *fake_get(const char *key);
--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -44,8 +44,8 @@
 }
 static int teardown(void **st) {
   (void)st;
-  if (a) tmx_ctl_free(a);
-  if (b) tmx_ctl_free(b);
+  if (a) controller_end(a);
+  if (b) controller_end(b);
   a = b = NULL;
   tmx_server_free(w.srv);
   for (int i = 0; i < 2; i++) tmx_server_free(others[i].srv);
@@ -81,7 +81,7 @@
   pump_for(0.1);
 }
 static void restart(void) {
-  tmx_ctl_free(a);
+  controller_end(a);
   a = controller(0, 1);
   assert_true(pump(typed, a));
 }
@@ -100,23 +100,29 @@
 /* The day "gap": the state refuses the leader alone, another controller confirms a cancellation,
  * then the state is down for all, for longer than cancel_s, and the worker keeps reporting to its
  * old owner. Whatever any of them answers, no lease outlasts the time of the cancellation, and
- * nothing of the job starts. */
-static void gap(void **st) {
-  (void)st;
+ * nothing of the job starts. slow_s: in place of the refusal the owner's reads are answered so
+ * late, and its watch tells nothing. */
+static void gap_with(double slow_s) {
   up(&w);
   assert_int_equal(submit(a, "wk-000001", "batch", 2, 2, "t"), 201);
   wait_starts(2);
   bool first = !strcmp(tmx_owner_of(&a->rep, w.id), a->set.node);
   struct tmx_ctl *owner = first ? a : b, *other = first ? b : a;
+  struct fake_door *door = &state.doors[first ? 0 : 1];
   double lease = a->set.lease_s, cancel = a->set.cancel_s;
   w.mute = true; /* stops sent by command do not arrive */
-  state.doors[first ? 0 : 1].refuse = true;
+  door->slow_s = slow_s;
+  door->refuse = !slow_s;
+  door->freeze_watch = slow_s > 0;
   pump_for(0.3);
+  unsigned reads = door->reads;
+  for (int i = 0; slow_s && i < 1000 && door->reads == reads; i++) pump_for(0.005);
   assert_string_equal(cancel_job(other, "wk-000001").state, WV_CANCELLED);
   double confirmed = tmx_now(), renewed = confirmed;
-  state.doors[first ? 1 : 0].refuse = true;
+  if (slow_s) pump_for(slow_s + 0.3); /* the read that began just before is answered only now */
+  state.doors[0].refuse = state.doors[1].refuse = true;
   unsigned begun = w.executed_starts, answered = 0;
-  for (double t = 0; t < cancel + 5; t += 2.5) {
+  for (double t = 0; t < cancel + 5; t += 0.5) {
     struct tmx_ctl *asked[] = {owner, other};
     for (int i = 0; i < 2; i++) {
       double sent = tmx_now();
@@ -128,12 +134,25 @@
       renewed = sent;
     }
     pump_for(0.12);
-    tmx_clock_shift(2.4);
+    tmx_clock_shift(0.38);
   }
   assert_true(answered > 0); /* running work went on for a while */
   assert_true(renewed + lease * (1 + TMX_DRIFT) < confirmed + cancel);
   assert_int_equal(w.executed_starts, begun);
 }
+static void gap(void **st) {
+  (void)st;
+  gap_with(0);
+}
+static void gap_with_slow_answers(void **st) {
+  (void)st;
+  gap_with(1.9); /* just before they are given up */
+}
+/* ... and the leader does not reach the other controllers either. */
+static int setup_apart(void **st) {
+  fake_apart = true;
+  return setup_two(st);
+}
 
 /* The owner's start is held up on its way, the job is cancelled through another controller, which
  * knows it, and then the state is out and the owner gone. Who keeps the lease for the owner raises
@@ -154,7 +173,7 @@
   pump_for(0.5);
   w.silent = true;
   state.doors[0].refuse = state.doors[1].refuse = true;
-  tmx_ctl_free(first ? a : b);
+  controller_end(first ? a : b);
   if (first)
     a = NULL;
   else
@@ -292,7 +311,7 @@
   worker_set(&w, "wk-000001/0", 1, WV_EXITED, WV_ERROR);
   struct fake_worker copy = w;
   copy.seq = ++w.seq;
-  tmx_ctl_free(a);
+  controller_end(a);
   state.doors[0].refuse = false;
   w.session++;
   w.n_loads = 0;
@@ -423,7 +442,7 @@
   assert_true(a->rep.fold_mark > 0);
   restart();
   assert_string_equal(poll_job(a, "wk-000001").state, WV_RUNNING);
-  tmx_ctl_free(a);
+  controller_end(a);
   tmx_clock_shift(30);
   w.session++;
   w.n_loads = 0;
@@ -446,6 +465,15 @@
   assert_string_equal(poll_job(a, "wk-000001").state, WV_DONE);
 }
 
+static void lead(const struct tmx_ctl *next) {
+  struct tmx_buf v = {0};
+  tmx_w_map(&v, 2);
+  tmx_w_kstr(&v, "name", next->set.node);
+  tmx_w_ku64(&v, "inc", tmx_link_inc(next->link));
+  fake_put(TMX_K_LEADER, &v);
+  tmx_buf_free(&v);
+}
+
 static void complete_all(void) {
   char task[sizeof w.loads[0].task];
   for (size_t i = 0; i < w.n_loads; i++) {
@@ -464,13 +492,8 @@
   unsigned done = 0;
   for (int i = 0; i < 10; i++) {
     struct tmx_ctl *next = i % 2 ? a : b;
-    struct tmx_buf v = {0};
-    tmx_w_map(&v, 2);
-    tmx_w_kstr(&v, "name", next->set.node);
-    tmx_w_ku64(&v, "inc", tmx_link_inc(next->link));
     if (i == 5) state.doors[0].refuse = state.doors[1].refuse = true; /* also inside an outage */
-    fake_put(TMX_K_LEADER, &v);
-    tmx_buf_free(&v);
+    lead(next);
     snprintf(id, sizeof id, "wk-%06d", i);
     if (i != 5) assert_int_equal(submit(next, id, "batch", 1, 2, "t"), 201);
     for (int k = 0; k < 6; k++) {
@@ -552,12 +575,7 @@
     }
     pump_for(1);
   }
-  struct tmx_buf v = {0};
-  tmx_w_map(&v, 2);
-  tmx_w_kstr(&v, "name", next->set.node);
-  tmx_w_ku64(&v, "inc", tmx_link_inc(next->link));
-  fake_put(TMX_K_LEADER, &v);
-  tmx_buf_free(&v);
+  lead(next);
   bool drained = false;
   for (int k = 0; k < 3; k++) assert_false(tmx_machine_find(&next->rep, all[k]->id)->drain);
   assert_int_equal(cloud.deletes, 0);
@@ -576,6 +594,251 @@
   assert_true(drained);
 }
 
+/* ------------------------------------------------------------ the copy read anew */
+
+static bool loaded(void *arg) { return ((struct tmx_ctl *)arg)->rep.loaded; }
+
+/* The watch fell behind while an answer with a start is on its way, and the copy is read anew under
+ * the same view: that answer has the token which the worker has seen, so its lack of the task
+ * proves nothing before a higher one was shown. */
+static void same_view_read_anew(void **st) {
+  (void)st;
+  up(&w);
+  w.mute = true;
+  assert_int_equal(submit(a, "wk-000001", "batch", 1, 2, "t"), 201);
+  wait_placed(1);
+  wait_command(0);
+  worker_report(&w, a);
+  worker_report(&w, a); /* shows the token that the unanswered command raised */
+  assert_true(worker_has(&w, WV_START, "wk-000001/0", 1)); /* still on its way */
+  uint64_t before = w.token, term = a->rep.view.term;
+  state.doors[0].gone_watch = true;
+  fake_free_watches();
+  for (int i = 0; i < 200 && (state.doors[0].gone_watch || a->rep.loaded); i++) pump_for(0.005);
+  assert_true(pump(loaded, a));
+  assert_int_equal(a->rep.view.term, term);
+  assert_string_equal(cancel_job(a, "wk-000001").state, WV_CANCELLED);
+  stays_placed(1, 1.0);
+  worker_report(&w, a);
+  assert_true(w.token > before);
+  worker_report(&w, a);
+  wait_placed(0);
+}
+
+/* A fold ends while a controller that starts reads the keys: it has the mark before, and the pages
+ * of that one are dropped, and keys of batches written over, before it comes to them. What was in
+ * them is known all the same. */
+static void mark_moves_while_keys_are_read(void **st) {
+  (void)st;
+  up(&w);
+  assert_int_equal(submit(a, "wk-000001", "service", 1, 2, "t"), 201);
+  wait_starts(1);
+  tmx_fold_above(a->fold, 0);
+  for (int i = 0; i < 600 && !a->rep.fold_mark; i++) pump_for(0.02);
+  uint64_t mark = a->rep.fold_mark;
+  assert_true(mark > 0);
+  tmx_fold_above(a->fold, 1000);
+  pump_for(3); /* what the first fold leaves is dropped */
+  struct fake_door *d = &state.doors[1];
+  d->page_max = 1;
+  strcpy(d->hold_from, TMX_K_FOLD);
+  b = controller(1, 2);
+  for (int i = 0; i < 400 && !d->held_read; i++) pump_for(0.02);
+  const struct tmx_req *held = d->held_read;
+  assert_non_null(held);
+  assert_int_equal(submit(a, "wk-000002", "batch", 1, 2, "t"), 201);
+  tmx_fold_above(a->fold, 0);
+  for (int i = 0; i < 600 && a->rep.fold_mark == mark; i++) pump_for(0.02);
+  assert_true(a->rep.fold_mark > mark);
+  tmx_fold_above(a->fold, 1000);
+  pump_for(1);
+  d->page_max = 0;
+  assert_ptr_equal(d->held_read, held); /* it was not given up in the meantime */
+  fake_read_on(d);
+  assert_true(pump(loaded, b));
+  assert_int_equal(b->rep.fold_mark, a->rep.fold_mark);
+  struct tmx_job *j = tmx_job_find(&b->rep, "wk-000001");
+  assert_non_null(j);
+  assert_int_equal(j->n_placed, 1);
+  assert_non_null(tmx_job_find(&b->rep, "wk-000002"));
+  assert_int_equal(poll_job(b, "wk-000001").status, 200);
+}
+
+/* ------------------------------------------------------------ many at once */
+
+/* Users ask at all controllers, repeat the submission and cancel, at once after a job was accepted,
+ * ended or confirmed as cancelled, while the other controller hears of it late: what one has said
+ * no other takes back. */
+static void asked_everywhere_at_once(void **st) {
+  (void)st;
+  up(&w);
+  static const char *ids[] = {"wk-000001", "wk-000002", "wk-000003", "wk-000004"};
+  struct tmx_ctl *at[] = {a, b};
+  for (int i = 0; i < 4; i++) {
+    struct tmx_ctl *one = at[i % 2], *other = at[1 - i % 2];
+    struct fake_door *lags = &state.doors[1 - i % 2];
+    lags->freeze_watch = true;
+    assert_int_equal(submit(one, ids[i], "batch", 1, 2, "t"), 201);
+    struct fake_answer r = poll_job(other, ids[i]);
+    assert_int_equal(r.status, 503); /* never a 404 */
+    assert_int_not_equal(submit(other, ids[i], "batch", 1, 2, "t"), 201);
+    lags->freeze_watch = false;
+    fake_free_watches();
+    assert_int_equal(submit(other, ids[i], "batch", 1, 2, "t"), 200);
+    unsigned begun = w.executed_starts;
+    if (i < 2) { /* it ends */
+      for (int k = 0; k < 200 && w.executed_starts == (unsigned)i; k++) pump_for(0.02);
+      char task[48];
+      snprintf(task, sizeof task, "%s/0", ids[i]);
+      worker_set(&w, task, 1, WV_EXITED, WV_DONE);
+      worker_report(&w, a);
+      if (w.status != 200) worker_report(&w, b);
+      const char *x[] = {ids[i], WV_DONE};
+      for (int k = 0; k < 200 && strcmp(poll_job(one, ids[i]).state, x[1]); k++) pump_for(0.01);
+      assert_string_equal(poll_job(one, ids[i]).state, WV_DONE);
+      lags->freeze_watch = true;
+    } else {
+      lags->freeze_watch = true;
+      assert_string_equal(cancel_job(one, ids[i]).state, WV_CANCELLED);
+      begun = w.executed_starts;
+    }
+    const char *end = i < 2 ? WV_DONE : WV_CANCELLED;
+    for (int k = 0; k < 3; k++) {
+      r = k == 0 ? poll_job(other, ids[i]) : cancel_job(other, ids[i]);
+      assert_true(r.status == 503 || !strcmp(r.state, end));
+      assert_string_equal(poll_job(one, ids[i]).state, end);
+      assert_string_equal(cancel_job(one, ids[i]).state, end);
+    }
+    lags->freeze_watch = false;
+    fake_free_watches();
+    pump_for(0.3);
+    assert_string_equal(poll_job(other, ids[i]).state, end);
+    if (i >= 2) assert_in_range(w.executed_starts, 0, begun); /* nothing starts after it */
+    for (int k = 0; k < 3; k++) {
+      worker_report(&w, a);
+      if (w.status != 200) worker_report(&w, b);
+      worker_do(&w);
+      pump_for(0.05);
+    }
+  }
+}
+
+/* A job is cancelled in the seconds in which its owner's work changes hands: the owner ends between
+ * the placement and the start, and the other controller confirms the cancellation before, while or
+ * after it takes the machine. Nothing of the job starts after the confirmation, and its place is
+ * free again. */
+static void cancelled_as_work_changes_hands(void **st) {
+  (void)st;
+  static const double after[] = {0, 0.5, 1.5, 3};
+  char id[32];
+  up(&w);
+  for (unsigned i = 0; i < 4; i++) {
+    bool first = !strcmp(tmx_owner_of(&a->rep, w.id), a->set.node);
+    struct tmx_ctl *owner = first ? a : b, *heir = first ? b : a;
+    w.mute = true;
+    snprintf(id, sizeof id, "wk-%06u", i);
+    assert_int_equal(submit(heir, id, "batch", 2, 2, "t"), 201);
+    wait_placed(2);
+    fake_drop(first ? TMX_K_NODE "hand-0" : TMX_K_NODE "hand-1"); /* its lease is over */
+    controller_end(owner);
+    *(first ? &a : &b) = NULL;
+    pump_for(after[i]);
+    struct fake_answer r = cancel_job(heir, id);
+    for (int k = 0; k < 20 && r.status == 503; k++) r = cancel_job(heir, id);
+    assert_string_equal(r.state, WV_CANCELLED);
+    unsigned begun = w.executed_starts;
+    w.mute = false;
+    for (int k = 0; k < 400 && fake_placed(); k++) {
+      pump_for(0.05);
+      worker_report(&w, heir);
+      worker_do(&w);
+    }
+    assert_int_equal(fake_placed(), 0);
+    assert_int_equal(w.executed_starts, begun);
+    *(first ? &a : &b) = controller(first ? 0 : 1, 2);
+    assert_true(pump(typed, first ? a : b));
+    pump_for(1);
+    up(&w);
+  }
+}
+
+/* One-task jobs come four a second, a quarter of them are cancelled, some at their end, and the
+ * leader changes on the way: each ends as its user was told, the limit holds, and nothing is left.
+ */
+static void one_task_jobs(void **st) {
+  (void)st;
+  enum { N = 80 };
+  up(&w);
+  char id[32], told[N][16] = {{0}};
+  for (int i = 0; i < N; i++) {
+    struct tmx_ctl *at = i % 3 ? a : b;
+    snprintf(id, sizeof id, "wk-%06d", i);
+    int status = submit(at, id, "batch", 1, 2, "t");
+    for (int k = 0; k < 20 && status == 503; k++) status = submit(at, id, "batch", 1, 2, "t");
+    assert_true(status == 201 || status == 200);
+    if (i % 10 == 5) complete_all();
+    if (i % 4 == 0) {
+      struct fake_answer r = cancel_job(i % 8 ? a : b, id);
+      for (int k = 0; k < 20 && r.status != 200; k++) r = cancel_job(i % 8 ? a : b, id);
+      assert_int_equal(r.status, 200);
+      strcpy(told[i], r.state);
+    }
+    if (i % 20 == 10) lead(i % 40 == 10 ? b : a);
+    pump_for(0.25);
+    assert_in_range(fake_placed(), 0, 4);
+    if (i % 2) complete_all();
+    worker_report(&w, a);
+    if (w.status != 200) worker_report(&w, b);
+    worker_do(&w);
+  }
+  for (int i = 0; i < 400 && fake_placed(); i++) {
+    complete_all();
+    worker_report(&w, a);
+    if (w.status != 200) worker_report(&w, b);
+    worker_do(&w);
+    pump_for(0.1);
+  }
+  assert_int_equal(fake_placed(), 0);
+  pump_for(1);
+  for (int i = 0; i < N; i++) {
+    snprintf(id, sizeof id, "wk-%06d", i);
+    assert_string_equal(poll_job(i % 2 ? a : b, id).state, told[i][0] ? told[i] : WV_DONE);
+  }
+}
+
+/* A new machine is up within a second and gets work at once, while the answers of the writes are
+ * lost, and the leader ends: the machine is registered once, what was placed is started once. */
+static void fast_machine_and_the_leader_ends(void **st) {
+  (void)st;
+  struct fake_worker *x = &others[0];
+  assert_int_equal(submit(b, "wk-000001", "service", 2, 2, "t"), 201);
+  for (int i = 0; i < 2; i++) {
+    state.doors[i].lose_next_txn = true;
+    strcpy(state.doors[i].lose_key, TMX_K_BATCH);
+  }
+  up(x);
+  bool first = tmx_link_leading(a->link);
+  fake_drop(first ? TMX_K_NODE "hand-0" : TMX_K_NODE "hand-1");
+  fake_drop(TMX_K_LEADER);
+  controller_end(first ? a : b);
+  *(first ? &a : &b) = NULL;
+  struct tmx_ctl *heir = first ? b : a;
+  for (int i = 0; i < 200 && x->executed_starts < 1; i++) {
+    pump_for(0.05);
+    worker_report(x, heir);
+    worker_do(x);
+  }
+  for (int i = 0; i < 20; i++) {
+    pump_for(0.1);
+    worker_report(x, heir);
+    worker_do(x);
+  }
+  assert_int_equal(x->executed_starts, 2);
+  assert_int_equal(x->n_loads, 2);
+  for (size_t i = 0; i < 2; i++) assert_int_equal(x->loads[i].attempt, 1);
+  assert_int_equal(fake_placed(), 2);
+}
+
 /* ------------------------------------------------------------ machines */
 
 /* A machine that answers and cannot report renews no lease: it gets nothing new, and is replaced
@@ -692,6 +955,8 @@
 int main(void) {
   const struct CMUnitTest t[] = {
       cmocka_unit_test_setup_teardown(gap, setup_two, teardown),
+      {"gap_without_peers", gap, setup_apart, teardown, NULL},
+      cmocka_unit_test_setup_teardown(gap_with_slow_answers, setup_two, teardown),
       cmocka_unit_test_setup_teardown(lease_not_kept_for_a_held_start, setup_two, teardown),
       cmocka_unit_test_setup_teardown(no_start_on_an_old_copy, setup, teardown),
       cmocka_unit_test_setup_teardown(cancellation_at_the_last_end, setup, teardown),
@@ -703,6 +968,12 @@
       cmocka_unit_test_setup_teardown(lapsed_lease_of_a_controller, setup, teardown),
       cmocka_unit_test_setup_teardown(ends_far_apart, setup, teardown),
       cmocka_unit_test_setup_teardown(leaders_change_ten_times, setup_two, teardown),
+      cmocka_unit_test_setup_teardown(same_view_read_anew, setup, teardown),
+      cmocka_unit_test_setup_teardown(mark_moves_while_keys_are_read, setup, teardown),
+      cmocka_unit_test_setup_teardown(asked_everywhere_at_once, setup_two, teardown),
+      cmocka_unit_test_setup_teardown(cancelled_as_work_changes_hands, setup_two, teardown),
+      cmocka_unit_test_setup_teardown(one_task_jobs, setup_two, teardown),
+      cmocka_unit_test_setup_teardown(fast_machine_and_the_leader_ends, setup_two, teardown),
       cmocka_unit_test_setup_teardown(limit_with_a_machine_out_of_reach, setup, teardown),
       cmocka_unit_test_setup_teardown(an_heir_knows_the_peak, setup_two, teardown),
       cmocka_unit_test_setup_teardown(answers_and_cannot_report, setup, teardown),
--- a/tests/test_rules.c
+++ b/tests/test_rules.c
@@ -42,8 +42,8 @@
 }
 static int teardown(void **st) {
   (void)st;
-  if (a) tmx_ctl_free(a);
-  if (b) tmx_ctl_free(b);
+  if (a) controller_end(a);
+  if (b) controller_end(b);
   a = b = NULL;
   tmx_server_free(w.srv);
   fake_close();
@@ -181,7 +181,7 @@
   w.mute = true;
   submit(a, "wk-000001", "batch", 1, 2, "t");
   assert_true(pump(placed, NULL));
-  tmx_ctl_free(a);
+  controller_end(a);
   w.mute = false;
   w.executed_starts = 0;
   a = controller(0, 1);
@@ -195,7 +195,7 @@
 }
 
 static void restart(void) {
-  tmx_ctl_free(a);
+  controller_end(a);
   a = controller(0, 1);
   assert_true(pump(typed, a));
 }
@@ -239,7 +239,7 @@
   assert_true(pump(placed, NULL));
   for (int i = 0; i < 100 && !w.commands; i++) pump_for(0.02);
   assert_true(w.commands > 0);
-  tmx_ctl_free(a);
+  controller_end(a);
   a = controller(0, 1);
   assert_true(pump(typed, a));
   assert_string_equal(cancel_job(a, "wk-000001").state, WV_CANCELLED);
@@ -390,7 +390,7 @@
   struct tmx_ctl *inside = first ? b : a;
   assert_int_equal(tmx_job_find(&inside->rep, "wk-000002")->fin, TMX_FIN_CANCELLED);
   state.doors[0].refuse = state.doors[1].refuse = true;
-  tmx_ctl_free(first ? a : b);
+  controller_end(first ? a : b);
   if (first)
     a = NULL;
   else
@@ -655,7 +655,7 @@
   assert_int_equal(w.executed_starts, 4);
   tmx_fold_above(a->fold, 0);
   assert_true(pump(folded, NULL));
-  tmx_ctl_free(a);
+  controller_end(a);
   a = controller(0, 1);
   assert_true(pump(typed, a));
   struct tmx_job *j = tmx_job_find(&a->rep, "wk-000001");
