Rounds cut for what they looked at go on with the other jobs; the bound follows the share

Cause: a round looked at 400,000 machines and tasks at most, always from the head of the order. Ruled out: max_ops, since what it cuts has been placed.

--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -56,10 +56,12 @@
   1.0 /* taken off cancel_s - lease_s: a lease counts from when the report was sent, which is \
          before it is answered, so only clocks that drift are left to allow for; more than    \
          that where cancel_s is so long that they need it */
-#define TMX_FRESH_LEAST_S 2.0 /* settings that leave less are refused: a read a second, some slow \
-                               */
-#define TMX_START_FRESH_S 2.5 /* no read for this long: starts wait, somebody may have cancelled \
-                               */
+#define TMX_FRESH_LEAST_S                                                 \
+  2.0 /* settings that leave less are refused: a read a second, some slow \
+       */
+#define TMX_START_FRESH_S                                                \
+  2.5 /* no read for this long: starts wait, somebody may have cancelled \
+       */
 #define TMX_FOLD_KEYS                                                                          \
   1500                     /* batch keys since the last fold: about 1 MB, read within a second \
                               when a controller starts */
@@ -75,7 +77,11 @@
 #define TMX_FINISHED_MAX 64      /* jobs that end in one batch */
 #define TMX_RESENDS 6            /* of a batch that lost the race for head; then planned anew */
 #define TMX_REGISTER_MAX 256     /* machines registered in one batch */
-#define TMX_PLAN_VISITS 400000   /* machines and tasks looked at in one round: about 20 ms */
+#define TMX_PLAN_BUSY_S 0.1      /* of a controller's share: a round takes no longer ... */
+#define TMX_PLAN_VISIT_S 5e-8    /* processor time of a machine or task looked at */
+#define TMX_PLAN_VISITS 400000   /* ... and looks at no more of them: about 20 ms */
+#define TMX_PLAN_VISITS_LEAST \
+  20000 /* with a share so small, a single job still finds its machine */
 #define TMX_BEGIN_S                                                                                \
   150.0                       /* a job that waited this long gets a first task, and a share of the \
                                  room with others as old: the largest begin within four minutes */
@@ -168,7 +174,7 @@
 #define TMX_PEAK_S                                                                             \
   60                            /* room is kept for the peak of this long: the least charge of \
                                    a machine, and longer than a boot */
-#define TMX_DEMAND_GAP_S 5     /* s; seen with a longer gap, the peak is not known */
+#define TMX_DEMAND_GAP_S 5      /* s; seen with a longer gap, the peak is not known */
 #define TMX_ROOM_OVER_PEAK 0.1  /* ... and this share more, less among more than 100 machines */
 #define TMX_ROOM_TO_MOVE 2.0    /* times a machine's replicas must be free in its zone first */
 #define TMX_ROOM_AFTER 0.2      /* ... and this share of the zone's part of the peak */
--- a/src/core/model.c
+++ b/src/core/model.c
@@ -171,6 +171,7 @@
 struct tmx_model *tmx_model_new(void) {
   struct tmx_model *md = calloc(1, sizeof *md);
   if (!md) abort();
+  md->cut_services = md->cut_oldest = md->cut_arrays = -1;
   return md;
 }
 
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -43,5 +43,8 @@
   size_t n_open, cap_open;
   uint64_t round;
   double lane_credit; /* array tasks that overdue jobs may place first */
+  /* slots of the jobs where the round before was cut for what it had looked at, one a part of the
+   * order; -1: none */
+  int cut_services, cut_oldest, cut_arrays;
 };
 #endif
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -63,7 +63,7 @@
   const struct tmx_round *in;
   struct tmx_plan_output *out;
   struct tmx_usage usage[TMX_TEAMS_MAX];
-  size_t visits;
+  size_t visits, limit; /* looked at, and at most in this part of the order */
   struct pm **undo;
   size_t n_undo, cap_undo;
   struct pj **undo_j;
@@ -478,7 +478,7 @@
   bool theirs = !mine && grace;
   begin_job(r, j);
   while (j->next_wait < j->r.n_waits && placed < max) {
-    if (r->out->n_ops >= in->max_ops || r->visits > TMX_PLAN_VISITS) {
+    if (r->out->n_ops >= in->max_ops || r->visits > r->limit) {
       r->out->cut = true;
       break;
     }
@@ -526,6 +526,26 @@
   return placed;
 }
 
+/* Places up to max tasks of each of these jobs, in order. When so many find no room that the
+ * round's bound is reached, the next round goes on with the jobs that were not looked at: those
+ * that wait for room again and again must not keep a round from those that would find some. */
+static uint32_t place_all(struct round *r, struct pj **v, size_t n, uint32_t max, int *cut) {
+  size_t from = 0;
+  uint32_t placed = 0;
+  for (size_t k = 0; k < n && *cut >= 0; k++)
+    if (v[k]->r.slot == *cut) from = k;
+  *cut = -1;
+  for (size_t k = 0; k < n; k++) {
+    struct pj *j = v[(from + k) % n];
+    placed += place(r, j, max);
+    if (r->visits <= r->limit || k + 1 == n) continue;
+    r->out->cut = true;
+    *cut = v[(from + k + 1) % n]->r.slot;
+    break;
+  }
+  return placed;
+}
+
 /* ------------------------------------------------------------ the order */
 
 /* The place of an array in the order, lower first. What can still meet an aim comes before what
@@ -622,26 +642,33 @@
   if (!oldest) abort();
   memcpy(oldest, order, n * sizeof *oldest);
   qsort(order, n, sizeof *order, by_rank);
-  size_t i = 0;
-  for (; i < n && standing(order[i]) == 2; i++) place(&r, order[i], UINT32_MAX);
+  size_t services = 0, n_begin = 0;
+  while (services < n && standing(order[services]) == 2) services++;
+  r.limit = in->max_visits / 2;
+  place_all(&r, order, services, UINT32_MAX, &md->cut_services);
   /* A bounded wait inside the order: a job that has waited long without a start gets one task, and
    * a share of the room goes to the jobs that are oldest, however large they are. */
-  uint32_t lane = 0;
+  struct pj **begin = calloc(n + 1, sizeof *begin);
+  if (!begin) abort();
   for (size_t k = 0; k < n; k++) {
     struct pj *j = oldest[k];
     double waited = in->wall - j->r.submitted;
     if (waited < TMX_BEGIN_S || standing(j) == 2) continue;
-    if (!j->r.n_done && !j->r.n_placed) place(&r, j, 1);
+    if (!j->r.n_done && !j->r.n_placed) begin[n_begin++] = j;
   }
-  for (size_t k = 0; k < n && md->lane_credit >= 1; k++) {
+  r.limit = r.visits + (in->max_visits - r.limit) / 2;
+  uint32_t lane = 0;
+  place_all(&r, begin, n_begin, 1, &md->cut_oldest);
+  free(begin);
+  for (size_t k = 0; k < n && md->lane_credit >= 1 && r.visits <= r.limit; k++) {
     struct pj *j = oldest[k];
     if (in->wall - j->r.submitted < TMX_BEGIN_S || standing(j) == 2) continue;
     uint32_t got = place(&r, j, (uint32_t)md->lane_credit);
     md->lane_credit -= got;
     lane += got;
   }
-  uint32_t rest = 0;
-  for (; i < n; i++) rest += place(&r, order[i], UINT32_MAX);
+  r.limit = in->max_visits;
+  uint32_t rest = place_all(&r, order + services, n - services, UINT32_MAX, &md->cut_arrays);
   md->lane_credit = fmin(md->lane_credit + TMX_LANE_SHARE * (rest + lane), TMX_PLAN_TASKS);
   if (in->leading && !out->unplaced && !out->cut) move_services(&r);
   take_back(&r);
--- a/src/core/plan.h
+++ b/src/core/plan.h
@@ -66,6 +66,7 @@
   struct tmx_usage usage[TMX_TEAMS_MAX];
   struct tmx_team_conf teams[TMX_TEAMS_MAX];
   size_t n_teams, max_ops;
+  size_t max_visits; /* machines and tasks looked at */
 };
 struct tmx_plan_output {
   struct tmx_op *ops;
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -300,6 +300,9 @@
   memcpy(in->teams, c->set.teams, sizeof in->teams);
   memcpy(in->usage, r->usage, sizeof in->usage);
   double room = (double)tmx_value_room(&c->set) * (c->set.txn_ops - 1);
+  in->max_visits =
+      (size_t)fmax(fmin(c->set.core_share * TMX_PLAN_BUSY_S / TMX_PLAN_VISIT_S, TMX_PLAN_VISITS),
+                   TMX_PLAN_VISITS_LEAST);
   in->max_ops = (size_t)(fmin(room, TMX_TXN_BYTES) / TMX_LINE_TYPICAL);
   for (size_t i = 0; i < p->n_ends; i++) {
     struct tmx_task *t = task_of(r, &p->ends[i]);
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -26,8 +26,13 @@
   assert_non_null(p);
   p->n_machines = machines;
   p->n_jobs = jobs;
-  p->in = (struct tmx_round){
-      .n_zones = zones, .leading = true, .max_ops = 400, .n_teams = 1, .now = 100, .wall = 100};
+  p->in = (struct tmx_round){.n_zones = zones,
+                             .leading = true,
+                             .max_ops = 400,
+                             .max_visits = 400000,
+                             .n_teams = 1,
+                             .now = 100,
+                             .wall = 100};
   for (size_t i = 0; i < machines; i++) {
     struct tmx_plan_machine *m = &p->machines[i];
     m->slot = (int)i;
@@ -350,6 +355,35 @@
   paper_free(in);
 }
 
+/* Jobs without room use up a round's bound, each with another shape, round after round: the one
+ * that has room, and comes last in the order, is placed all the same, and so are replicas. */
+static void bounded_rounds_reach_every_job(void **st) {
+  (void)st;
+  for (int service = 0; service < 2; service++) {
+    struct paper *in = paper(64, 16, 1);
+    for (size_t m = 0; m < 64; m++) in->machines[m].ucpus = 15;
+    for (size_t k = 0; k < 15; k++)
+      job(in, k, service, 2, 2 + 0.1 * (double)k)->mem = 60 - (double)k;
+    struct tmx_spec *s = job(in, 15, service, 2, 1);
+    s->priority--; /* the last */
+    in->in.max_visits = 600;
+    struct tmx_model *md = tell(in);
+    struct tmx_plan_output out;
+    bool placed = false, cut = false;
+    for (int i = 0; i < 16 && !placed; i++) {
+      tmx_plan(md, &in->in, &out);
+      placed = out.n_ops > 0;
+      cut |= out.cut;
+      if (placed) assert_string_equal(out.ops[0].job, "wk-000015");
+      free(out.ops);
+    }
+    assert_true(cut); /* the bound was in the way */
+    assert_true(placed);
+    tmx_model_free(md);
+    paper_free(in);
+  }
+}
+
 /* A planner that is fed with changes plans as one that is told everything anew, round after round,
  * and a round leaves its tables as they were. */
 static void fed_in_steps_as_afresh(void **st) {
@@ -502,6 +536,7 @@
       cmocka_unit_test(who_seems_lost),
       cmocka_unit_test(a_cut_zone_is_told_from_dead_machines),
       cmocka_unit_test(who_goes_to_spot_machines),
+      cmocka_unit_test(bounded_rounds_reach_every_job),
       cmocka_unit_test(rents_for_what_waits),
   };
   return cmocka_run_group_tests(t, NULL, NULL);
