--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -45,7 +45,7 @@
   struct heap zone[TMX_ZONES_MAX];
 };
 struct shape { /* what found no room: nothing as large is tried again in this round */
-  const struct tmx_spec *s;
+  const struct pj *j;
   int what;
 };
 enum { OWN, ANY, SOON, VICTIMS, SETS }; /* the first three in this order: see place */
@@ -72,7 +72,8 @@
   size_t n_marks, cap_marks;
   struct shape blocked[SHAPES];
   size_t n_blocked;
-  int *stopping; /* machines with room on its way */
+  bool in_the_way; /* a machine was passed over for the job's own sake: its replicas, its errors */
+  int *stopping;   /* machines with room on its way */
   size_t n_stopping, cap_stopping;
   struct set sets[SETS]; /* of the job at hand; their memory is kept */
   uint32_t n_eligible, cap;
@@ -318,10 +319,16 @@
   if (!p->r.usable || p->r.drain) return false;
   if (what == OWN && p->r.owner != j->r.planner) return false;
   if (what != VICTIMS && !room(p, j->r.spec, what == SOON)) return false;
-  if (j->r.spec->service && live_on(j, p) >= r->cap) return false;
+  if (j->r.spec->service && live_on(j, p) >= r->cap) {
+    r->in_the_way = true;
+    return false;
+  }
   *v = value(r, j, p);
   if (what == VICTIMS) {
-    if (*v >= AVOIDED) return false;
+    if (*v >= AVOIDED) {
+      r->in_the_way = true;
+      return false;
+    }
     double cost = victims(r, j, p, false);
     if (cost < 0) return false;
     *v = cost / 1e6 + (*v >= COLD ? COLD : 0); /* below COLD: the cheapest, warm ones first */
@@ -336,21 +343,44 @@
   return !s->n_types || !memcmp(s->types, t->types, sizeof s->types[0] * s->n_types);
 }
 
+/* Whether what one of them finds says something of the other: by its own part only those of one
+ * controller, and what may be stopped depends on team and standing. */
+static bool alike(const struct pj *a, const struct pj *b, int what) {
+  if (what == OWN) return a->r.planner == b->r.planner;
+  if (what != VICTIMS) return true;
+  return a->r.team == b->r.team && a->r.spec->priority == b->r.spec->priority &&
+         a->guaranteed == b->guaranteed;
+}
+
 static bool is_blocked(const struct round *r, const struct pj *j, int what) {
-  for (size_t i = 0; i < r->n_blocked; i++)
-    if (r->blocked[i].what == what && as_large(j->r.spec, r->blocked[i].s)) return true;
+  for (size_t i = 0; i < r->n_blocked; i++) {
+    const struct shape *b = &r->blocked[i];
+    if (b->what == what && alike(b->j, j, what) && as_large(j->r.spec, b->j->r.spec)) return true;
+  }
   return false;
 }
 
+/* The smallest are kept, as they speak for the most. */
+static void block(struct round *r, const struct pj *j, int what) {
+  size_t i;
+  for (i = 0; i < r->n_blocked; i++) {
+    const struct shape *b = &r->blocked[i];
+    if (b->what == what && alike(b->j, j, what) && as_large(b->j->r.spec, j->r.spec)) break;
+  }
+  if (i == SHAPES) return;
+  r->blocked[i] = (struct shape){j, what};
+  r->n_blocked += i == r->n_blocked;
+}
+
 static void build(struct round *r, const struct pj *j, int what) {
   struct set *set = &r->sets[what];
   const struct tmx_spec *s = j->r.spec;
   size_t n = 0;
   set->built = true;
   for (size_t z = 0; z < TMX_ZONES_MAX; z++) set->zone[z].n = 0;
-  /* what may be stopped depends on team and standing: not remembered by shape */
-  set->none = what != VICTIMS && is_blocked(r, j, what);
+  set->none = is_blocked(r, j, what);
   if (set->none) return;
+  r->in_the_way = false;
   for (size_t k = 0; k < r->md->n_groups; k++) {
     const struct group *g = &r->md->groups[k];
     if (what == SOON || !g->n_usable || !group_suits(g, s)) continue;
@@ -375,9 +405,7 @@
   for (size_t z = 0; z < r->in->n_zones; z++)
     for (size_t i = set->zone[z].n / 2; i-- > 0;) sift_down(&set->zone[z], i);
   set->none = !n;
-  /* for services the job's own replicas may be in the way: that says nothing of others */
-  if (!n && !s->service && what != VICTIMS && r->n_blocked < SHAPES)
-    r->blocked[r->n_blocked++] = (struct shape){s, what};
+  if (!n && !r->in_the_way) block(r, j, what);
 }
 
 /* The best machine for the job's next task; -1: none. warm: only where its image lies. */
@@ -672,6 +700,7 @@
   md->lane_credit = fmin(md->lane_credit + TMX_LANE_SHARE * (rest + lane), TMX_PLAN_TASKS);
   if (in->leading && !out->unplaced && !out->cut) move_services(&r);
   take_back(&r);
+  out->visits = r.visits;
   for (int k = 0; k < SETS; k++)
     for (size_t z = 0; z < TMX_ZONES_MAX; z++) free(r.sets[k].zone[z].c);
   free(r.undo);
--- a/src/core/plan.h
+++ b/src/core/plan.h
@@ -73,6 +73,7 @@
   size_t n_ops, cap;
   uint32_t unplaced; /* tasks that found no room, or were not looked at */
   bool cut;          /* the round's bound was reached: the next one is due at once */
+  size_t visits;     /* machines and tasks looked at */
 };
 
 void *tmx_grow(void *v, size_t *cap, size_t need, size_t size); /* zeroes what is new */
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -655,8 +655,8 @@
   }
   tmx_txn_head(&b.t, c->set.node);
   if (tmx_log_on(TMX_DEBUG))
-    tmx_log(TMX_DEBUG, "round: %zu ends, %zu of %zu planned, %d keys, resent %d", p->n_ends, placed,
-            p->plan.n_ops, b.t.n_ops, p->resent);
+    tmx_log(TMX_DEBUG, "round: %zu ends, %zu of %zu planned, %zu looked at, %d keys, resent %d",
+            p->n_ends, placed, p->plan.n_ops, p->plan.visits, b.t.n_ops, p->resent);
   p->sent_head = r->head;
   p->sending = tmx_link_commit(c->link, &b.t, true, on_batch, p);
   if (p->sending) return;
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -384,6 +384,45 @@
   }
 }
 
+/* What one job finds on the machines speaks for all alike, so many waiting replicas cost no more
+ * than a few; not so where only its own replicas are in the way, or only its own controller's part
+ * was looked at. */
+static void one_look_for_all_alike(void **st) {
+  (void)st;
+  struct paper *in = paper(64, 16, 1);
+  struct tmx_plan_output out;
+  for (size_t m = 0; m < 64; m++) in->machines[m].ucpus = 15;
+  for (size_t k = 0; k < 16; k++) job(in, k, true, 2, 2);
+  plan(in, &out);
+  assert_int_equal(out.n_ops, 0);
+  assert_in_range(out.visits, 64, 64 * 4);
+  free(out.ops);
+  /* the first one's replica is on the only machine with room: the others' go there */
+  in->machines[7].ucpus = 0;
+  runs(in, 7, 0, 0, 50, false);
+  in->jobs[0].n_placed = 1;
+  in->jobs[0].n_waits = 1;
+  in->jobs[0].waits[0].task = 1;
+  plan(in, &out);
+  assert_true(out.n_ops >= 1);
+  for (size_t i = 0; i < out.n_ops; i++) assert_string_not_equal(out.ops[i].job, "wk-000000");
+  free(out.ops);
+  /* who does not lead looks at another's job first, in that one's part: it says nothing of its own
+   */
+  in->in.leading = false;
+  in->jobs[0].planner = 1;
+  in->machines[7].owner = 0;
+  in->machines[7].n_tasks = 0;
+  for (size_t m = 0; m < 64; m++) in->machines[m].owner = m == 7 ? 0 : 1;
+  in->jobs[0].n_placed = 0;
+  for (size_t k = 1; k < 16; k++) in->jobs[k].planner = 0;
+  plan(in, &out);
+  assert_true(out.n_ops >= 1);
+  for (size_t i = 0; i < out.n_ops; i++) assert_string_equal(out.ops[i].machine, "n-000007");
+  free(out.ops);
+  paper_free(in);
+}
+
 /* A planner that is fed with changes plans as one that is told everything anew, round after round,
  * and a round leaves its tables as they were. */
 static void fed_in_steps_as_afresh(void **st) {
@@ -537,6 +576,7 @@
       cmocka_unit_test(a_cut_zone_is_told_from_dead_machines),
       cmocka_unit_test(who_goes_to_spot_machines),
       cmocka_unit_test(bounded_rounds_reach_every_job),
+      cmocka_unit_test(one_look_for_all_alike),
       cmocka_unit_test(rents_for_what_waits),
   };
   return cmocka_run_group_tests(t, NULL, NULL);
