--- a/include/tmx/wire.h
+++ b/include/tmx/wire.h
@@ -44,6 +44,7 @@
 #define W_CHECKPOINT "tally_s"
 #define W_SAVE "stow_s"
 #define W_DEADLINE "due_s"
+#define W_AWAITS "awaits"
 #define W_STATE "standing"
 #define W_DONE "done"
 #define W_RUNNING "running"
--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -350,7 +350,7 @@
     team[i] = c->set.teams[i].cpus_max > 0 ? c->set.teams[i].cpus_max - r->usage[i].cpus : 1e9;
   struct tmx_job *j, *jt;
   HASH_ITER(hh, r->jobs, j, jt) {
-    if (j->fin || j->team < 0) continue;
+    if (j->fin || j->team < 0 || tmx_job_blocked(j)) continue;
     uint32_t w = j->spec.tasks - j->n_done - j->n_placed;
     if (!w || now - j->loaded_at < 0.5) continue;
     if (j->spec.cpus > 0 && team[j->team] < w * j->spec.cpus) /* its limit holds it */
--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -65,6 +65,43 @@
   return json_is_number(v) ? json_number_value(v) : 0;
 }
 
+/* The limits of the state service; a field that `next` leaves out stays as it is. */
+#define RATE_MAX 1e6 /* requests or puts a second */
+#define VALUE_KB_MIN 1
+#define VALUE_KB_MAX 60 /* below PROTOCOL's 64 KiB for a transaction */
+#define TXN_OPS_MIN 4   /* a value, head and the final states of two jobs */
+#define TXN_OPS_MAX 1000
+
+static void read_state_limits(struct rd *r, json_t *state, struct tmx_settings *s) {
+  s->state_rps = get_num(r, state, "cluster.state.", "rps", 1, RATE_MAX);
+  s->write_rps = get_num(r, state, "cluster.state.", "write_rps", 1, RATE_MAX);
+  s->value_kb = get_num(r, state, "cluster.state.", "value_kb", VALUE_KB_MIN, VALUE_KB_MAX);
+  s->txn_ops = (int)get_num(r, state, "cluster.state.", "txn_ops", TXN_OPS_MIN, TXN_OPS_MAX);
+}
+
+static double smaller_limit(struct rd *r, json_t *next, const char *key, double now, double lo,
+                            double hi) {
+  json_t *v = json_object_get(next, key);
+  if (!v || json_is_null(v)) return now;
+  double d = get_num(r, next, "cluster.state.next.", key, lo, hi);
+  return d < now ? d : now;
+}
+
+/* The limits to come hold from some moment without notice, so what is written keeps within the
+ * smaller ones from the start. */
+static void read_next_limits(struct rd *r, json_t *state, struct tmx_settings *s) {
+  json_t *next = json_object_get(state, "next");
+  if (!next || json_is_null(next)) return;
+  if (!json_is_object(next)) {
+    fail(r, "cluster.state.", "next", "not a map");
+    return;
+  }
+  s->state_rps = smaller_limit(r, next, "rps", s->state_rps, 1, RATE_MAX);
+  s->write_rps = smaller_limit(r, next, "write_rps", s->write_rps, 1, RATE_MAX);
+  s->value_kb = smaller_limit(r, next, "value_kb", s->value_kb, VALUE_KB_MIN, VALUE_KB_MAX);
+  s->txn_ops = (int)smaller_limit(r, next, "txn_ops", s->txn_ops, TXN_OPS_MIN, TXN_OPS_MAX);
+}
+
 static void read_all(struct rd *r, json_t *o, struct tmx_settings *s) {
   size_t i;
   json_t *e;
@@ -128,10 +165,8 @@
         r, "cluster.workers.", "cancel_s",
         "exceeds lease_s by too little to renew leases safely: 3 s are needed, more for long ones");
   json_t *st = get_obj(r, c, "cluster.", "state");
-  s->state_rps = get_num(r, st, "cluster.state.", "rps", 1, 1e6);
-  s->write_rps = get_num(r, st, "cluster.state.", "write_rps", 1, 1e6);
-  s->value_kb = get_num(r, st, "cluster.state.", "value_kb", 1, 60);
-  s->txn_ops = (int)get_num(r, st, "cluster.state.", "txn_ops", 4, 1000);
+  read_state_limits(r, st, s);
+  if (!r->bad) read_next_limits(r, st, s);
   json_t *cl = get_obj(r, c, "cluster.", "cloud");
   s->cloud_rps = get_num(r, cl, "cluster.cloud.", "rps", 0.1, 1e6);
   s->list_lag_s = get_num(r, cl, "cluster.cloud.", "list_lag_s", 0, 600);
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -36,6 +36,8 @@
   struct tmx_objective objectives[TMX_OBJECTIVES_MAX];
   size_t n_objectives;
   double report_s, lease_s, cancel_s;
+  /* of the state service: the smaller of the limits in force and of those announced in
+   * `state.next`, which may come into force at any moment */
   double state_rps, write_rps, value_kb;
   int txn_ops;
   double cloud_rps, list_lag_s;
--- a/src/controller.h
+++ b/src/controller.h
@@ -64,13 +64,22 @@
 void tmx_rounds_reset(struct tmx_rounds *p);
 /* A line for the log, kept until it is committed: a machine to be returned, or gone by proof. */
 void tmx_rounds_line(struct tmx_rounds *p, const char *line);
-/* A submission for the log; cb(arg, TMX_TXN_*): committed, known already, refused or unknown. Takes
- * the encoded job over. false: no room for it now. */
+/* A submission for the log; cb(arg, TMX_TXN_*): committed, known already, refused or unknown. */
 typedef void (*tmx_arrival_cb)(void *arg, int result);
-bool tmx_rounds_arrival(struct tmx_ctl *c, const char *id, struct tmx_buf *value, double within,
-                        tmx_arrival_cb cb, void *arg);
+enum tmx_arrival_result {
+  TMX_ARRIVAL_TAKEN,
+  TMX_ARRIVAL_LATER,     /* no room for it now */
+  TMX_ARRIVAL_TOO_LARGE, /* more than a transaction can hold */
+};
+struct tmx_submission {
+  char id[TMX_ID_MAX];
+  struct tmx_spec spec;
+  struct tmx_awaits awaits;
+  double submitted; /* time of day, s */
+};
+enum tmx_arrival_result tmx_rounds_arrival(struct tmx_ctl *c, const struct tmx_submission *s,
+                                           double within, tmx_arrival_cb cb, void *arg);
 void tmx_rounds_flush(struct tmx_rounds *p); /* after each turn of the loop */
-double tmx_rounds_aim(const struct tmx_ctl *c, const struct tmx_spec *s); /* s, to be done */
 
 /* src/state: folding of old batches, by the leader */
 struct tmx_fold *tmx_fold_new(struct tmx_ctl *c);
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -181,7 +181,7 @@
 static bool second_choice(const struct round *r, const struct pj *j, bool spot) {
   const struct tmx_spec *s = j->r.spec;
   if (s->service || !s->spot) return false;
-  double left = j->r.next_aim_s - (r->in->wall - j->r.submitted);
+  double left = j->r.next_aim_s - (r->in->wall - j->r.released);
   double lost = s->checkpoint_s > 0 ? fmin(s->checkpoint_s, j->r.run_s) : j->r.run_s;
   return spot == (left < j->r.run_s + lost + TMX_PATIENCE_S);
 }
@@ -221,7 +221,7 @@
 
 /* Services to people come first, then what teams are guaranteed, then the rest. */
 static int standing(const struct pj *j) {
-  return j->r.spec->priority == TMX_PRIO_PROD ? 2 : j->guaranteed;
+  return j->r.priority == TMX_PRIO_PROD ? 2 : j->guaranteed;
 }
 
 /* Only work that also stands behind in the order of placing is stopped: anything else would be
@@ -230,7 +230,7 @@
 static bool may_stop(const struct round *r, const struct pj *j, const struct tmx_plan_task *v) {
   const struct pj *o = v->job >= 0 && (size_t)v->job < r->md->cap_j ? r->md->j[v->job] : NULL;
   if (!o || v->stopping || standing(j) <= standing(o)) return false;
-  if (o->r.spec->priority < j->r.spec->priority) return true;
+  if (o->r.priority < j->r.priority) return true;
   if (!j->guaranteed || o->r.team == j->r.team || o->r.team < 0 || o->r.spec->service) return false;
   const struct tmx_team_conf *t = &r->in->teams[o->r.team];
   return r->usage[o->r.team].cpus - o->r.spec->cpus >= t->cpus - EPS &&
@@ -260,7 +260,7 @@
       struct tmx_plan_task *t = &p->r.tasks[k];
       if ((taken && taken[k]) || !may_stop(r, j, t)) continue;
       /* lower priority first, then the least lost work */
-      int prio = r->md->j[t->job]->r.spec->priority;
+      int prio = r->md->j[t->job]->r.priority;
       double lost = lost_work(r, t);
       if (best && (prio > best_prio || (prio == best_prio && lost >= best_lost))) continue;
       best = t;
@@ -348,8 +348,7 @@
 static bool alike(const struct pj *a, const struct pj *b, int what) {
   if (what == OWN) return a->r.planner == b->r.planner;
   if (what != VICTIMS) return true;
-  return a->r.team == b->r.team && a->r.spec->priority == b->r.spec->priority &&
-         a->guaranteed == b->guaranteed;
+  return a->r.team == b->r.team && a->r.priority == b->r.priority && a->guaranteed == b->guaranteed;
 }
 
 static bool is_blocked(const struct round *r, const struct pj *j, int what) {
@@ -580,15 +579,15 @@
  * cannot, the least remaining work first, since that brings the most jobs home in time. */
 static double order_of(const struct tmx_round *in, const struct tmx_plan_job *j) {
   const struct tmx_spec *s = j->spec;
-  double waited = in->wall - j->submitted, run = fmax(j->run_s, 1);
+  double waited = in->wall - j->released, run = fmax(j->run_s, 1);
   uint32_t left = s->tasks - j->n_done, waiting = left - j->n_placed;
   double work = (waiting + 0.5 * j->n_placed) * fmax(s->cpus, 0.1) * run;
   return waited + run > j->aim_s ? 1e9 + work : work;
 }
 
-static int by_submission(const void *a, const void *b) {
+static int by_release(const void *a, const void *b) {
   const struct pj *x = *(struct pj *const *)a, *y = *(struct pj *const *)b;
-  if (x->r.submitted != y->r.submitted) return x->r.submitted < y->r.submitted ? -1 : 1;
+  if (x->r.released != y->r.released) return x->r.released < y->r.released ? -1 : 1;
   return strcmp(x->r.id, y->r.id);
 }
 
@@ -596,7 +595,7 @@
   const struct pj *x = *(struct pj *const *)a, *y = *(struct pj *const *)b;
   int px = standing(x), py = standing(y);
   if (px != py) return py - px;
-  if (x->r.spec->priority != y->r.spec->priority) return y->r.spec->priority - x->r.spec->priority;
+  if (x->r.priority != y->r.priority) return y->r.priority - x->r.priority;
   if (x->order != y->order) return x->order < y->order ? -1 : 1;
   return strcmp(x->r.id, y->r.id);
 }
@@ -651,7 +650,7 @@
   struct pj **order = calloc(n + 1, sizeof *order);
   if (!order) abort();
   for (size_t i = 0; i < n; i++) order[i] = md->open[i];
-  qsort(order, n, sizeof *order, by_submission);
+  qsort(order, n, sizeof *order, by_release);
   for (size_t i = 0; i < n; i++) {
     struct pj *j = order[i];
     const struct tmx_spec *s = j->r.spec;
@@ -680,7 +679,7 @@
   if (!begin) abort();
   for (size_t k = 0; k < n; k++) {
     struct pj *j = oldest[k];
-    double waited = in->wall - j->r.submitted;
+    double waited = in->wall - j->r.released;
     if (waited < TMX_BEGIN_S || standing(j) == 2) continue;
     if (!j->r.n_done && !j->r.n_placed) begin[n_begin++] = j;
   }
@@ -690,7 +689,7 @@
   free(begin);
   for (size_t k = 0; k < n && md->lane_credit >= 1 && r.visits <= r.limit; k++) {
     struct pj *j = oldest[k];
-    if (in->wall - j->r.submitted < TMX_BEGIN_S || standing(j) == 2) continue;
+    if (in->wall - j->r.released < TMX_BEGIN_S || standing(j) == 2) continue;
     uint32_t got = place(&r, j, (uint32_t)md->lane_credit);
     md->lane_credit -= got;
     lane += got;
--- a/src/core/plan.h
+++ b/src/core/plan.h
@@ -35,11 +35,12 @@
   char id[TMX_ID_MAX];
   struct tmx_spec *spec; /* taken over; NULL: as before */
   int team, planner;     /* member index */
+  int priority;          /* its own, or that of a job that needs it */
   int zone;              /* the only one allowed; -1: any */
-  double submitted;      /* time of day, s */
+  double released;       /* time of day, s: it could have begun since; its waits count from here */
   double stuck_since;    /* steady clock, s: no task of it was placed since; 0: none waits */
   double retry_at;       /* steady clock, s: not before */
-  double aim_s, run_s;   /* when it should be done; how long a task is expected to run */
+  double aim_s, run_s;   /* when it should be done, from its release; how long a task should run */
   double next_aim_s;     /* the first of its aims that is still ahead; as aim_s if none is */
   uint32_t n_done, n_placed;
   bool open;                   /* else only its placed tasks count */
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -19,8 +19,12 @@
 
 struct arrival { /* a submission on its way into the log */
   char id[TMX_ID_MAX];
-  struct tmx_buf value;
-  size_t json; /* its length as JSON */
+  struct tmx_buf value; /* the job's record ... */
+  struct tmx_awaits
+      awaits;         /* ... and of the ids that it names, those that have no room in it ... */
+  uint32_t in_record; /* ... follow from here on */
+  size_t json;        /* length of the record as JSON */
+  int values;         /* keys that record and lines take; 1: it may go out by itself */
   double until;
   tmx_arrival_cb cb;
   void *arg;
@@ -157,28 +161,34 @@
   return TMX_TURN_PUTS / (c->set.write_rps * TMX_WRITE_SHARE);
 }
 
-/* When a job should be done, at the latest: its class's last aim, or its own deadline. */
-double tmx_rounds_aim(const struct tmx_ctl *c, const struct tmx_spec *s) {
+/* s from the job's release to its deadline, or to that of a job which needs it; <0: none */
+static double due_in(const struct tmx_job *j) {
+  return isfinite(j->urgency.due_at) ? fmax(j->urgency.due_at - j->released, 0) : -1;
+}
+
+static bool is_finish_aim(const struct tmx_objective *o, const struct tmx_spec *s) {
+  return !strcmp(o->class_name, s->class) && !strcmp(o->kind, "finished");
+}
+
+/* When a job should be done, at the latest: its class's last aim, or its deadline. */
+static double last_aim(const struct tmx_ctl *c, const struct tmx_job *j) {
   double last = 0;
   for (size_t i = 0; i < c->set.n_objectives; i++)
-    if (!strcmp(c->set.objectives[i].class_name, s->class) &&
-        !strcmp(c->set.objectives[i].kind, "finished"))
+    if (is_finish_aim(&c->set.objectives[i], &j->spec))
       last = fmax(last, c->set.objectives[i].within_s);
-  if (s->deadline_s > last) last = s->deadline_s;
+  last = fmax(last, due_in(j));
   return last > 0 ? last : TMX_NO_AIM_S;
 }
 
-/* The first of those that is still ahead, s after the submission. */
-static double next_aim(const struct tmx_ctl *c, const struct tmx_spec *s, double waited) {
-  double next = tmx_rounds_aim(c, s);
+/* The first of those that is still ahead, s after the release. */
+static double next_aim(const struct tmx_ctl *c, const struct tmx_job *j, double waited) {
+  double next = last_aim(c, j), due = due_in(j);
   for (size_t i = 0; i < c->set.n_objectives; i++) {
     double within = c->set.objectives[i].within_s;
-    if (!strcmp(c->set.objectives[i].class_name, s->class) &&
-        !strcmp(c->set.objectives[i].kind, "finished") && within > waited)
+    if (is_finish_aim(&c->set.objectives[i], &j->spec) && within > waited)
       next = fmin(next, within);
   }
-  if (s->deadline_s > waited) next = fmin(next, s->deadline_s);
-  return next;
+  return due > waited ? fmin(next, due) : next;
 }
 
 /* How long a start may take: the class's own aim, or a plain wait. */
@@ -239,7 +249,7 @@
 static void feed_job(struct tmx_rounds *p, struct tmx_job *j) {
   struct tmx_ctl *c = p->c;
   j->dirty = false;
-  bool open = !j->fin && j->tasks;
+  bool open = !j->fin && j->tasks && !tmx_job_blocked(j);
   if (!open && !j->n_placed && !j->fed) return;
   struct tmx_plan_job *f = tmx_feed_job(&p->feed);
   f->slot = j->slot;
@@ -254,11 +264,12 @@
   f->zone = j->spec.zone[0] ? tmx_zone_index(&c->set, j->spec.zone) : -1;
   f->team = j->team;
   f->planner = tmx_planner_index(&c->rep, j->id);
-  f->submitted = j->submitted;
+  f->priority = j->urgency.priority;
+  f->released = j->released;
   f->stuck_since = j->stuck_since;
   f->retry_at = j->retry_at;
-  f->aim_s = tmx_rounds_aim(c, &j->spec);
-  f->next_aim_s = next_aim(c, &j->spec, tmx_wall() - j->submitted);
+  f->aim_s = last_aim(c, j);
+  f->next_aim_s = next_aim(c, j, tmx_wall() - j->released);
   f->run_s = fmax(tmx_expected_run(&c->rep, &j->spec), j->longest);
   f->n_done = j->n_done;
   f->n_placed = j->n_placed;
@@ -387,14 +398,19 @@
 
 /* ------------------------------------------------------------ submissions */
 
+static void free_arrival(struct arrival *a) {
+  tmx_buf_free(&a->value);
+  tmx_awaits_free(&a->awaits);
+  free(a);
+}
+
 static void settle_arrival(struct tmx_rounds *p, size_t i, int res) {
   struct arrival *a = p->arrivals[i];
   if (!a->answered) a->cb(a->arg, res);
   a->answered = true;
   if (a->direct) return; /* goes with the answer to its commit */
   p->arrivals[i] = p->arrivals[--p->n_arrivals];
-  tmx_buf_free(&a->value);
-  free(a);
+  free_arrival(a);
 }
 
 /* Answers those that are decided or have waited too long; the rest may be sent. Where the answer to
@@ -423,6 +439,26 @@
   tmx_txn_if(t, key, 0);
 }
 
+/* A submission goes into one transaction or into none: no reader takes a part for the whole. One
+ * that needs several values comes first in its batch, which is made as large as it needs. */
+static bool has_room(struct batch *b, const struct arrival *a) {
+  if (a->values == 1) return fits(b, a->json, 0);
+  if (b->lines || b->n_jobs || b->t.n_ops) return false;
+  if (b->spare < a->values) b->spare = a->values;
+  return fits(b, a->json, 0);
+}
+
+static void add_arrival(struct batch *b, const struct arrival *a) {
+  char line[TMX_LINE_MAX];
+  tmx_buf_add(&b->jobs, a->value.p, a->value.n);
+  b->value += a->json;
+  b->n_jobs++;
+  for (uint32_t at = a->in_record; at < a->awaits.n;) {
+    tmx_awaits_print(line, sizeof line, a->id, &a->awaits, &at);
+    add_line(b, line, 0);
+  }
+}
+
 /* In a value they come before the lines, so they are the first to go in. */
 static void add_arrivals(struct tmx_rounds *p, struct batch *b) {
   bool full = false;
@@ -432,14 +468,12 @@
   for (size_t i = 0; i < p->n_arrivals; i++) {
     struct arrival *a = p->arrivals[i];
     if (a->direct || a->answered) continue;
-    full = full || b->t.n_conds >= conds || !fits(b, a->json, 0);
+    full = full || b->t.n_conds >= conds || !has_room(b, a);
     a->sent = !full;
     a->sent_at = tmx_now();
     if (full) continue;
     condition(&b->t, a->id);
-    tmx_buf_add(&b->jobs, a->value.p, a->value.n);
-    b->value += a->json;
-    b->n_jobs++;
+    add_arrival(b, a);
   }
 }
 
@@ -472,24 +506,60 @@
     }
 }
 
-bool tmx_rounds_arrival(struct tmx_ctl *c, const char *id, struct tmx_buf *value, double within,
-                        tmx_arrival_cb cb, void *arg) {
-  struct tmx_rounds *p = c->rounds;
-  if (p->n_arrivals == TMX_ARRIVALS_MAX) return false;
-  for (size_t i = 0; i < p->n_arrivals; i++)
-    if (!strcmp(p->arrivals[i]->id, id)) return false; /* it is on its way already */
+/* Keys that a submission takes: its record, and lines for the ids that have no room there. */
+static int values_of(const struct tmx_settings *set, const struct arrival *a) {
+  size_t room = tmx_value_room(set), used = room; /* lines begin in a value of their own */
+  int values = 1;
+  char line[TMX_LINE_MAX];
+  for (uint32_t at = a->in_record; at < a->awaits.n;) {
+    tmx_awaits_print(line, sizeof line, a->id, &a->awaits, &at);
+    size_t len = tmx_json_text(line, strlen(line)) + 1;
+    values += used + len > room;
+    used = used + len > room ? len : used + len;
+  }
+  return values;
+}
+
+static bool too_large(const struct tmx_settings *set, const struct arrival *a) {
+  size_t room = tmx_value_room(set);
+  return a->json > room || a->values > set->txn_ops - 1 ||
+         (size_t)a->values * (room + TMX_JSON_FRAME) > TMX_TXN_BYTES;
+}
+
+static struct arrival *make_arrival(struct tmx_rounds *p, const struct tmx_submission *s) {
   struct arrival *a = calloc(1, sizeof *a);
   if (!a) abort();
-  snprintf(a->id, sizeof a->id, "%s", id);
-  a->value = *value;
+  memcpy(a->id, s->id, sizeof a->id);
+  a->in_record = tmx_job_encode_open(&a->value, s->id, &s->spec, s->submitted, &s->awaits,
+                                     tmx_value_room(&p->c->set));
   a->json = tmx_json_len(&a->value);
-  memset(value, 0, sizeof *value);
+  a->awaits.n = s->awaits.n;
+  a->awaits.ids = calloc(s->awaits.n + 1, sizeof *a->awaits.ids);
+  if (!a->awaits.ids) abort();
+  if (s->awaits.n) memcpy(a->awaits.ids, s->awaits.ids, s->awaits.n * sizeof *s->awaits.ids);
+  a->values = values_of(&p->c->set, a);
+  a->p = p;
+  return a;
+}
+
+enum tmx_arrival_result tmx_rounds_arrival(struct tmx_ctl *c, const struct tmx_submission *s,
+                                           double within, tmx_arrival_cb cb, void *arg) {
+  struct tmx_rounds *p = c->rounds;
+  if (p->n_arrivals == TMX_ARRIVALS_MAX) return TMX_ARRIVAL_LATER;
+  for (size_t i = 0; i < p->n_arrivals; i++)
+    if (!strcmp(p->arrivals[i]->id, s->id)) return TMX_ARRIVAL_LATER; /* it is on its way already */
+  struct arrival *a = make_arrival(p, s);
+  if (too_large(&c->set, a)) {
+    tmx_log(TMX_INFO, "job: %s refused: %zu bytes and %u awaited jobs take more than a transaction",
+            s->id, a->json, s->awaits.n);
+    free_arrival(a);
+    return TMX_ARRIVAL_TOO_LARGE;
+  }
   a->until = tmx_now() + within;
   a->cb = cb;
   a->arg = arg;
-  a->p = p;
   p->arrivals[p->n_arrivals++] = a;
-  return true;
+  return TMX_ARRIVAL_TAKEN;
 }
 
 /* The next step needs the replica to hold the latest revision that a commit told of. */
@@ -512,7 +582,8 @@
   if (idle <= TMX_DIRECT_MAX && c->rep.loaded && decided && caught_up(p)) {
     for (size_t i = 0; i < p->n_arrivals; i++) {
       struct arrival *a = p->arrivals[i];
-      if (a->direct || a->sent || a->tries >= TMX_DIRECT_TRIES || !tmx_link_submit(c->link))
+      if (a->direct || a->sent || a->values > 1 || a->tries >= TMX_DIRECT_TRIES ||
+          !tmx_link_submit(c->link))
         continue;
       struct tmx_txn t = {0};
       char key[TMX_KEY_MAX + 1];
@@ -561,6 +632,23 @@
   tmx_rounds_kick_in(c, res == TMX_TXN_OK ? (cut ? 0 : TMX_ROUND_SPACING_S) : TMX_STATE_RETRY_S);
 }
 
+/* Jobs that were cancelled through others get a final state of their own while puts are to spare:
+ * until then every copy, and every fold, keeps what they were derived from. */
+static void add_derived_ends(struct tmx_rounds *p, struct batch *b) {
+  struct tmx_ctl *c = p->c;
+  tmx_replica_tidy_unstored(&c->rep);
+  if (!tmx_link_leading(c->link) || !tmx_link_spare(c->link)) return;
+  for (size_t i = 0; i < c->rep.n_unstored && b->spare >= 1; i++, b->spare--) {
+    const struct tmx_job *j = c->rep.unstored[i];
+    char key[TMX_KEY_MAX + 1];
+    snprintf(key, sizeof key, TMX_K_JOB "%s", j->id);
+    tmx_txn_if(&b->t, key, j->stamp);
+    b->v.n = 0;
+    tmx_job_encode_final(&b->v, j, TMX_FIN_CANCELLED, 0, tmx_value_room(&c->set));
+    tmx_txn_put(&b->t, key, &b->v, 0);
+  }
+}
+
 /* The log's order in a batch: ends, machines, placements and stops. */
 static void commit(struct tmx_rounds *p) {
   struct tmx_ctl *c = p->c;
@@ -638,9 +726,11 @@
     snprintf(key, sizeof key, TMX_K_JOB "%s", j->id);
     tmx_txn_if(&b.t, key, j->stamp);
     b.v.n = 0;
-    tmx_job_encode(&b.v, j->id, &j->spec, j->submitted, TMX_FIN_DONE);
+    tmx_job_encode_final(&b.v, j, TMX_FIN_DONE, r->pipelines ? tmx_wall() : 0,
+                         tmx_value_room(&c->set));
     tmx_txn_put(&b.t, key, &b.v, 0);
   }
+  add_derived_ends(p, &b);
   tmx_buf_free(&b.list);
   tmx_buf_free(&b.jobs);
   tmx_buf_free(&b.v);
@@ -791,10 +881,7 @@
   free(p->machines);
   free(p->jobs);
   free(p->lines);
-  for (size_t i = 0; i < p->n_arrivals; i++) {
-    tmx_buf_free(&p->arrivals[i]->value);
-    free(p->arrivals[i]);
-  }
+  for (size_t i = 0; i < p->n_arrivals; i++) free_arrival(p->arrivals[i]);
   pthread_cond_destroy(&p->more);
   pthread_mutex_destroy(&p->lock);
   free(p);
--- a/src/state/check.c
+++ b/src/state/check.c
@@ -70,7 +70,9 @@
   const struct tmx_task *t = &j->tasks[o->task];
   if (o->op == TMX_OP_PLACE) {
     struct tmx_machine *m = tmx_machine_find(c->r, o->machine);
-    if (!m || j->fin || t->state != TMX_WAITING || o->attempt != t->attempt + 1) return false;
+    if (!m || j->fin || tmx_job_blocked(j) || t->state != TMX_WAITING ||
+        o->attempt != t->attempt + 1)
+      return false;
     look_at(c, j, m);
     if (!may_place(c, j, m, o->cap)) return false;
     count(c, j, m, 1);
--- /dev/null
+++ b/src/state/depend.h
@@ -0,0 +1,52 @@
+/* Dependencies between jobs, derived from the log as each replica applies it: pure. A job that
+ * names others is blocked until all of them are done; one that names a cancelled job, directly or
+ * through others, is cancelled at the same revision. */
+#ifndef TMX_DEPEND_H
+#define TMX_DEPEND_H
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "tmx/constants.h"
+
+struct tmx_job;
+struct tmx_replica;
+
+/* The ids that a submission names. */
+struct tmx_awaits {
+  char (*ids)[TMX_ID_MAX];
+  uint32_t n;
+};
+void tmx_awaits_free(struct tmx_awaits *a);
+
+struct tmx_dependencies {
+  struct tmx_awaits named;     /* by position; an empty id has not been read yet */
+  uint32_t n_read;             /* of these ids */
+  struct tmx_job **needs;      /* as many as named; NULL until every id is read and known */
+  uint32_t n_unfinished;       /* of `needs`: not done */
+  struct tmx_job **dependents; /* jobs that name this one */
+  size_t n_dependents, cap_dependents;
+  bool queued; /* on the work list of the function at hand */
+};
+
+/* What the planner goes by; the job's own values until a dependent asks for more. */
+struct tmx_urgency {
+  int priority;  /* the highest of its own and of those that need it */
+  double due_at; /* time of day, s: latest end for every deadline after it; INFINITY: none */
+};
+
+/* Announces that the job names `total` others, whose ids follow. */
+void tmx_depend_declare(struct tmx_job *j, uint32_t total);
+/* Reads one of these ids; one that is known already changes nothing. */
+void tmx_depend_name(struct tmx_job *j, uint32_t position, const char *id);
+/* Links the job to those it names, once all ids are read and the replica is loaded. */
+void tmx_depend_resolve(struct tmx_replica *r, struct tmx_job *j);
+/* To be called when the job's final state becomes known to a loaded replica. */
+void tmx_depend_over(struct tmx_replica *r, struct tmx_job *j);
+/* To be called once when the replica is loaded: links all, and derives what follows. */
+void tmx_depend_loaded(struct tmx_replica *r);
+void tmx_depend_free(struct tmx_job *j);
+
+/* Does it still wait for others: it takes part in nothing then. */
+bool tmx_job_blocked(const struct tmx_job *j);
+#endif
--- a/src/state/fold.c
+++ b/src/state/fold.c
@@ -24,7 +24,8 @@
   struct place { /* what comes next, and what comes after the pages under way */
     size_t machine, job;
     uint32_t task;
-    bool named;
+    bool recorded;   /* the job's record is written ... */
+    uint32_t awaits; /* ... and of the ids that it names, so many */
   } at, sent;
 };
 
@@ -42,6 +43,9 @@
 }
 void tmx_fold_above(struct tmx_fold *f, size_t keys) { f->above = keys; }
 
+/* Jobs that are over need no page, unless their end was derived and nothing else tells of them. */
+static bool counts(const struct tmx_job *j) { return j->tasks || (j->fin && !j->stored); }
+
 static void begin(struct tmx_fold *f) {
   struct tmx_replica *r = &f->c->rep;
   struct tmx_job *j, *jt;
@@ -53,7 +57,7 @@
   if (!f->machines || !f->jobs) abort();
   f->n_machines = f->n_jobs = 0;
   HASH_ITER(hh, r->machines, m, mt) memcpy(f->machines[f->n_machines++], m->id, TMX_ID_MAX);
-  HASH_ITER(hh, r->jobs, j, jt) if (j->tasks) memcpy(f->jobs[f->n_jobs++], j->id, TMX_ID_MAX);
+  HASH_ITER(hh, r->jobs, j, jt) if (counts(j)) memcpy(f->jobs[f->n_jobs++], j->id, TMX_ID_MAX);
   memset(&f->at, 0, sizeof f->at);
   f->mark = r->rev;
   f->stamp = r->fold_stamp;
@@ -61,6 +65,12 @@
   f->step = PAGES;
 }
 
+static void next_job(struct place *at) {
+  at->job++;
+  at->task = at->awaits = 0;
+  at->recorded = false;
+}
+
 /* What comes next in the pages, a line or an encoded job; false: nothing. */
 static bool next_line(struct tmx_fold *f, struct place *at, char *line, size_t cap,
                       struct tmx_buf *job) {
@@ -72,14 +82,20 @@
     at->machine++;
     return true;
   }
-  for (; at->job < f->n_jobs; at->job++, at->task = 0, at->named = false) {
+  for (; at->job < f->n_jobs; next_job(at)) {
     const struct tmx_job *j = tmx_job_find(r, f->jobs[at->job]);
-    if (j && j->tasks && !at->named) {
-      tmx_job_encode(job, j->id, &j->spec, j->submitted, TMX_OPEN);
-      at->named = true;
+    if (!j || !counts(j)) continue;
+    if (!at->recorded) {
+      at->awaits = tmx_job_encode_open(job, j->id, &j->spec, j->submitted, &j->deps.named,
+                                       tmx_value_room(&f->c->set));
+      at->recorded = true;
+      return true;
+    }
+    if (at->awaits < j->deps.named.n) {
+      tmx_awaits_print(line, cap, j->id, &j->deps.named, &at->awaits);
       return true;
     }
-    while (j && j->tasks && at->task < j->spec.tasks) {
+    while (j->tasks && at->task < j->spec.tasks) {
       int len;
       at->task += tmx_run_print(line, cap, j, at->task, &len);
       if (len) return true;
--- a/src/state/lines.c
+++ b/src/state/lines.c
@@ -60,10 +60,21 @@
     tmx_w_num(b, v);
 }
 
-/* A list in a fixed order: values are small, and many jobs may come at once. */
-void tmx_job_encode(struct tmx_buf *b, const char *id, const struct tmx_spec *s, double submitted,
-                    int fin) {
-  tmx_w_list(b, 19);
+/* A record is a list in a fixed order: values are small, and many jobs may come at once. The
+ * production version reads the first RECORD_FIELDS entries and passes over the rest. */
+enum {
+  RECORD_SUBMITTED = 17,
+  RECORD_FIN,
+  RECORD_FIELDS,                 /* of a record without dependencies */
+  RECORD_AWAITS = RECORD_FIELDS, /* text: ids that it names, the first ones */
+  RECORD_N_AWAITS,               /* all that it names */
+  RECORD_ENDED,                  /* time of day, s; 0: not known */
+  RECORD_FIELDS_ALL
+};
+
+static void encode_spec(struct tmx_buf *b, size_t fields, const char *id, const struct tmx_spec *s,
+                        double submitted, int fin) {
+  tmx_w_list(b, fields);
   tmx_w_str(b, id);
   tmx_w_str(b, s->class);
   tmx_w_str(b, s->team);
@@ -86,11 +97,135 @@
   tmx_w_u64(b, (uint64_t)fin);
 }
 
-bool tmx_job_decode(const cbor_item_t *l, char *id, size_t cap, struct tmx_spec *s,
-                    double *submitted, uint64_t *fin) {
+void tmx_job_encode(struct tmx_buf *b, const char *id, const struct tmx_spec *s, double submitted,
+                    int fin) {
+  encode_spec(b, RECORD_FIELDS, id, s, submitted, fin);
+}
+
+uint32_t tmx_job_encode_open(struct tmx_buf *b, const char *id, const struct tmx_spec *s,
+                             double submitted, const struct tmx_awaits *a, size_t room) {
+  if (!a->n) {
+    tmx_job_encode(b, id, s, submitted, TMX_OPEN);
+    return 0;
+  }
+  struct tmx_buf head = {0};
+  encode_spec(&head, RECORD_FIELDS_ALL, id, s, submitted, TMX_OPEN);
+  size_t used = tmx_json_len(&head) + TMX_JSON_FRAME;
+  size_t left = room > used ? room - used : 0;
+  uint32_t written = 0;
+  char *text = calloc(1, left + 1);
+  if (!text) abort();
+  tmx_awaits_text(text, left + 1, a, &written);
+  tmx_buf_add(b, head.p, head.n);
+  tmx_w_str(b, text);
+  tmx_w_u64(b, a->n);
+  tmx_w_u64(b, 0);
+  tmx_buf_free(&head);
+  free(text);
+  return written;
+}
+
+static void encode_final(struct tmx_buf *b, const struct tmx_job *j, const struct tmx_spec *s,
+                         int fin, double ended) {
+  encode_spec(b, ended > 0 ? RECORD_FIELDS_ALL : RECORD_FIELDS, j->id, s, j->submitted, fin);
+  if (ended <= 0) return;
+  tmx_w_str(b, "");
+  tmx_w_u64(b, 0);
+  tmx_w_num(b, ended);
+}
+
+/* What a job that is over has left on machines counts by its size and team; the rest of what its
+ * owner said is of no use any more and gives way to a limit that was lowered meanwhile. */
+void tmx_job_encode_final(struct tmx_buf *b, const struct tmx_job *j, int fin, double ended,
+                          size_t room) {
+  size_t start = b->n;
+  encode_final(b, j, &j->spec, fin, ended);
+  struct tmx_buf written = {.p = b->p + start, .n = b->n - start};
+  if (tmx_json_len(&written) <= room) return;
+  struct tmx_spec short_spec = j->spec;
+  short_spec.n_types = 0;
+  short_spec.class[0] = short_spec.image[0] = short_spec.zone[0] = 0;
+  b->n = start;
+  encode_final(b, j, &short_spec, fin, ended);
+}
+
+/* ------------------------------------------------------------ awaited jobs */
+
+bool tmx_job_id_ok(const char *s) {
+  size_t n = strlen(W_JOB_PREFIX), len = strlen(s);
+  if (len <= n || len >= TMX_ID_MAX || strncmp(s, W_JOB_PREFIX, n)) return false;
+  for (s += n; *s; s++)
+    if (!strchr("0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ_.-", *s))
+      return false;
+  return true;
+}
+
+static int by_id(const void *a, const void *b) { return strcmp(a, b); }
+
+bool tmx_awaits_parse(const cbor_item_t *m, struct tmx_awaits *a) {
+  const cbor_item_t *list = tmx_r_get(m, W_AWAITS);
+  memset(a, 0, sizeof *a);
+  if (!list) return true;
+  if (!cbor_isa_array(list)) return false;
+  size_t n = tmx_r_len(list);
+  if (!n) return true;
+  a->ids = calloc(n, sizeof *a->ids);
+  if (!a->ids) abort();
+  for (size_t i = 0; i < n; i++)
+    if (!tmx_r_str(tmx_r_at(list, i), a->ids[i], TMX_ID_MAX) || !tmx_job_id_ok(a->ids[i])) {
+      tmx_awaits_free(a);
+      return false;
+    }
+  qsort(a->ids, n, sizeof *a->ids, by_id);
+  for (size_t i = 0; i < n; i++)
+    if (!i || strcmp(a->ids[i], a->ids[a->n - 1])) memmove(a->ids[a->n++], a->ids[i], TMX_ID_MAX);
+  return true;
+}
+
+size_t tmx_awaits_text(char *out, size_t cap, const struct tmx_awaits *a, uint32_t *from) {
+  size_t used = 0;
+  out[0] = 0;
+  for (; *from < a->n; ++*from) {
+    const char *id = a->ids[*from] + strlen(W_JOB_PREFIX);
+    size_t len = strlen(id) + (used > 0);
+    if (used + len >= cap) break;
+    snprintf(out + used, cap - used, "%s%s", used ? " " : "", id);
+    used += len;
+  }
+  return used;
+}
+
+void tmx_awaits_read(struct tmx_job *j, uint32_t from, const char *text) {
+  for (const char *p = text; *p;) {
+    size_t len = strcspn(p, " ");
+    char id[TMX_ID_MAX];
+    if (len && len + strlen(W_JOB_PREFIX) < sizeof id) {
+      snprintf(id, sizeof id, W_JOB_PREFIX "%.*s", (int)len, p);
+      tmx_depend_name(j, from++, id);
+    }
+    p += len;
+    while (*p == ' ') p++;
+  }
+}
+
+void tmx_awaits_print(char *out, size_t cap, const char *id, const struct tmx_awaits *a,
+                      uint32_t *from) {
+  int n = snprintf(out, cap, "%c %s %u ", TMX_LINE_AWAITS, id, *from);
+  tmx_awaits_text(out + n, cap - (size_t)n, a, from);
+}
+
+static bool decode_dependencies(const cbor_item_t *l, struct tmx_job_record *out) {
+  if (tmx_r_len(l) < RECORD_FIELDS_ALL) return true;
+  out->awaits = tmx_r_at(l, RECORD_AWAITS);
+  return cbor_isa_string(out->awaits) && tmx_r_u64(tmx_r_at(l, RECORD_N_AWAITS), &out->n_awaits) &&
+         out->n_awaits <= TMX_BODY_MAX && tmx_r_num(tmx_r_at(l, RECORD_ENDED), &out->ended);
+}
+
+bool tmx_job_decode(const cbor_item_t *l, struct tmx_job_record *out) {
   uint64_t flags, prio, tasks;
-  memset(s, 0, sizeof *s);
-  if (tmx_r_len(l) < 19 || !tmx_r_str(tmx_r_at(l, 0), id, cap) ||
+  struct tmx_spec *s = &out->spec;
+  memset(out, 0, sizeof *out);
+  if (tmx_r_len(l) < RECORD_FIELDS || !tmx_r_str(tmx_r_at(l, 0), out->id, sizeof out->id) ||
       !tmx_r_str(tmx_r_at(l, 1), s->class, sizeof s->class) ||
       !tmx_r_str(tmx_r_at(l, 2), s->team, sizeof s->team) ||
       !tmx_r_str(tmx_r_at(l, 3), s->image, sizeof s->image) ||
@@ -101,8 +236,8 @@
     if (!tmx_r_str(tmx_r_at(types, s->n_types), s->types[s->n_types], TMX_ID_MAX)) return false;
   if (!tmx_r_u64(tmx_r_at(l, 6), &flags) || !tmx_r_u64(tmx_r_at(l, 7), &prio) ||
       !tmx_r_u64(tmx_r_at(l, 8), &tasks) || tasks < 1 || tasks > TMX_TASKS_MAX ||
-      prio > TMX_PRIO_PROD || !tmx_r_num(tmx_r_at(l, 17), submitted) ||
-      !tmx_r_u64(tmx_r_at(l, 18), fin))
+      prio > TMX_PRIO_PROD || !tmx_r_num(tmx_r_at(l, RECORD_SUBMITTED), &out->submitted) ||
+      !tmx_r_u64(tmx_r_at(l, RECORD_FIN), &out->fin))
     return false;
   s->service = flags & 1;
   s->one_zone = flags >> 1 & 1;
@@ -114,7 +249,7 @@
                    &s->estimate_s, &s->checkpoint_s, &s->save_s, &s->deadline_s};
   for (size_t i = 0; i < sizeof num / sizeof num[0]; i++)
     if (!tmx_r_num(tmx_r_at(l, 9 + i), num[i])) return false;
-  return true;
+  return decode_dependencies(l, out);
 }
 
 bool tmx_task_parse(const char *s, char *job, size_t cap, uint32_t *index) {
--- a/src/state/replica.c
+++ b/src/state/replica.c
@@ -35,9 +35,14 @@
   if (r->on_clear) r->on_clear(r->arg);
   HASH_ITER(hh, r->jobs, j, jt) {
     HASH_DEL(r->jobs, j);
+    tmx_depend_free(j);
     free(j->tasks);
     free(j);
   }
+  free(r->unstored);
+  r->unstored = NULL;
+  r->n_unstored = r->cap_unstored = 0;
+  r->pipelines = false;
   HASH_ITER(hh, r->machines, m, mt) {
     /* the worker's record outlives a reload: it is found again by name */
     HASH_DEL(r->machines, m);
@@ -162,13 +167,14 @@
   if (r->on_machine) r->on_machine(r->arg, m);
 }
 static void count_asked(struct tmx_replica *r, struct tmx_job *j) {
-  double asked = j->fin ? 0 : (j->spec.tasks - j->n_done - j->n_placed) * j->spec.cpus;
+  double asked =
+      j->fin || tmx_job_blocked(j) ? 0 : (j->spec.tasks - j->n_done - j->n_placed) * j->spec.cpus;
   r->asked += asked - j->asked;
   j->asked = asked;
 }
 static void job_touched(struct tmx_replica *r, struct tmx_job *j) {
   count_asked(r, j);
-  bool waits = !j->fin && j->spec.tasks > j->n_done + j->n_placed;
+  bool waits = !j->fin && !tmx_job_blocked(j) && j->spec.tasks > j->n_done + j->n_placed;
   if (!waits)
     j->stuck_since = 0;
   else if (!j->stuck_since)
@@ -354,41 +360,105 @@
   changed(r);
 }
 
-/* A submission, from the log, or with its final state from the job's own key. */
-static struct tmx_job *apply_job(struct tmx_replica *r, const cbor_item_t *v) {
-  char id[TMX_ID_MAX];
-  uint64_t fin = 0;
-  struct tmx_spec spec;
-  double submitted;
-  if (!tmx_job_decode(v, id, sizeof id, &spec, &submitted, &fin)) {
+static struct tmx_job *job_make(struct tmx_replica *r, const struct tmx_job_record *record) {
+  struct tmx_job *j = xalloc(sizeof *j);
+  memcpy(j->id, record->id, sizeof j->id);
+  j->spec = record->spec;
+  j->submitted = j->released = record->submitted;
+  j->urgency.priority = j->spec.priority;
+  j->urgency.due_at = j->spec.deadline_s >= 0 ? j->submitted + j->spec.deadline_s : INFINITY;
+  j->loaded_at = r->now;
+  j->team = tmx_team_index(r->set, j->spec.team);
+  j->spec.image_id = image_id(r, j->spec.image);
+  j->tasks = xalloc(sizeof(struct tmx_task) * j->spec.tasks);
+  for (uint32_t i = 0; i < j->spec.tasks; i++) j->tasks[i].job = j;
+  j->slot = slot_take(&r->slots_j, &r->n_slots_j, &r->top_j);
+  HASH_ADD_STR(r->jobs, id, j);
+  return j;
+}
+
+void tmx_replica_finish(struct tmx_replica *r, struct tmx_job *j, int fin) {
+  j->fin = fin;
+  j->fin_after = r->loaded ? r->sure_at : 0;
+  for (uint32_t i = 0; j->n_placed && i < j->spec.tasks; i++)
+    if (j->tasks[i].machine) touched(r, j->tasks[i].machine);
+  if (fin == TMX_FIN_DONE) j->n_done = j->spec.tasks;
+  release(r, j);
+  job_touched(r, j);
+  changed(r);
+}
+
+void tmx_replica_job_changed(struct tmx_replica *r, struct tmx_job *j) {
+  job_touched(r, j);
+  changed(r);
+}
+
+void tmx_replica_tidy_unstored(struct tmx_replica *r) {
+  size_t n = 0;
+  for (size_t i = 0; i < r->n_unstored; i++)
+    if (!r->unstored[i]->stored) r->unstored[n++] = r->unstored[i];
+  r->n_unstored = n;
+}
+
+/* Ids that the record has no room for follow in lines of the same transaction or of the same
+ * pages: the job counts as blocked until all have been read. */
+static void read_dependencies(struct tmx_replica *r, struct tmx_job *j,
+                              const struct tmx_job_record *record) {
+  if (!record->n_awaits || j->fin) return;
+  r->pipelines = true;
+  tmx_depend_declare(j, (uint32_t)record->n_awaits);
+  size_t len = cbor_string_length(record->awaits);
+  char *text = xalloc(len + 1);
+  tmx_r_str(record->awaits, text, len + 1);
+  tmx_awaits_read(j, 0, text);
+  free(text);
+  tmx_depend_resolve(r, j);
+}
+
+/* A submission, from the log, or with its final state from the job's own key, of that version;
+ * 0: not from there. */
+static void apply_job(struct tmx_replica *r, const cbor_item_t *v, uint64_t own_key_stamp) {
+  struct tmx_job_record record;
+  if (!tmx_job_decode(v, &record)) {
     tmx_log(TMX_ERROR, "state: a job cannot be read");
-    return NULL;
+    return;
   }
-  struct tmx_job *j = tmx_job_find(r, id);
-  if (!j) {
-    j = xalloc(sizeof *j);
-    snprintf(j->id, sizeof j->id, "%s", id);
-    j->spec = spec;
-    j->submitted = submitted;
-    j->loaded_at = r->now;
-    j->team = tmx_team_index(r->set, j->spec.team);
-    j->spec.image_id = image_id(r, j->spec.image);
-    j->tasks = xalloc(sizeof(struct tmx_task) * j->spec.tasks);
-    for (uint32_t i = 0; i < j->spec.tasks; i++) j->tasks[i].job = j;
-    j->slot = slot_take(&r->slots_j, &r->n_slots_j, &r->top_j);
-    HASH_ADD_STR(r->jobs, id, j);
+  struct tmx_job *j = tmx_job_find(r, record.id);
+  if (!j) j = job_make(r, &record);
+  if (own_key_stamp) {
+    j->stamp = own_key_stamp;
+    j->stored = record.fin != TMX_OPEN;
   }
-  if (fin && !j->fin) {
-    j->fin = (int)fin;
-    j->fin_after = r->loaded ? r->sure_at : 0;
-    for (uint32_t i = 0; j->n_placed && i < j->spec.tasks; i++)
-      if (j->tasks[i].machine) touched(r, j->tasks[i].machine);
-    if (j->fin == TMX_FIN_DONE) j->n_done = j->spec.tasks;
-    release(r, j);
+  if (record.ended > 0) {
+    j->ended = record.ended;
+    r->pipelines = true;
+  }
+  if (record.fin && !j->fin) {
+    tmx_replica_finish(r, j, (int)record.fin);
+    tmx_depend_over(r, j);
   }
+  read_dependencies(r, j, &record);
   job_touched(r, j);
   changed(r);
-  return j;
+}
+
+static void apply_awaits(struct tmx_replica *r, char *line) {
+  char *f[3];
+  uint32_t from;
+  char *ids = line + strlen(line);
+  /* the ids are the rest of the line, behind its third field */
+  for (size_t spaces = 0, i = 0; line[i]; i++)
+    if (line[i] == ' ' && ++spaces == 3) {
+      line[i] = 0;
+      ids = &line[i + 1];
+      break;
+    }
+  if (tmx_line_fields(line, f, 3) != 3 || !tmx_line_u32(f[2], &from)) return;
+  struct tmx_job *j = tmx_job_find(r, f[1]);
+  if (!j || j->fin) return;
+  tmx_awaits_read(j, from, ids);
+  tmx_depend_resolve(r, j);
+  job_touched(r, j);
 }
 
 /* Keeps count of the keys of one kind that stand. */
@@ -488,7 +558,7 @@
 
 static void apply_lines(struct tmx_replica *r, const cbor_item_t *v) {
   const cbor_item_t *ops = tmx_r_get(v, "ops"), *jobs = tmx_r_get(v, "jobs");
-  for (size_t i = 0; i < tmx_r_len(jobs); i++) apply_job(r, tmx_r_at(jobs, i));
+  for (size_t i = 0; i < tmx_r_len(jobs); i++) apply_job(r, tmx_r_at(jobs, i), 0);
   for (size_t i = 0; i < tmx_r_len(ops); i++) {
     char s[TMX_LINE_MAX];
     struct tmx_op o;
@@ -497,6 +567,8 @@
       apply_machine(r, s);
     else if (s[0] == TMX_LINE_RUN)
       apply_run(r, s);
+    else if (s[0] == TMX_LINE_AWAITS)
+      apply_awaits(r, s);
     else if (tmx_op_parse(s, &o))
       apply_op(r, &o);
   }
@@ -596,8 +668,7 @@
   if (after(key, TMX_K_BATCH, &rest)) {
     apply_batch(r, key, rest, stamp, v);
   } else if (after(key, TMX_K_JOB, &rest)) {
-    struct tmx_job *j = v ? apply_job(r, v) : NULL; /* job keys are never dropped */
-    if (j) j->stamp = stamp;
+    if (v) apply_job(r, v, stamp); /* job keys are never dropped */
   } else if (after(key, TMX_K_PAGE, &rest)) {
     keep_key(&r->pages, key, stamp, v != NULL);
     /* A complete copy has it already. Pages of a fold that was given up tell of tasks whose ends
@@ -661,5 +732,6 @@
     count_asked(r, j); /* pages count results without a word */
     release(r, j);
   }
+  tmx_depend_loaded(r);
   changed(r);
 }
--- a/src/state/replica.h
+++ b/src/state/replica.h
@@ -7,6 +7,7 @@
 
 #include "config/settings.h"
 #include "net/cbor.h"
+#include "state/depend.h"
 
 #define TMX_KEYS "t/"
 #define TMX_KEY_MAX 200 /* bytes; PROTOCOL's limit */
@@ -62,6 +63,11 @@
   uint64_t stamp; /* version of its key, which is written with its final state; 0: none */
   struct tmx_spec spec;
   double submitted; /* time of day, s */
+  double released;  /* time of day, s: submitted, or the last job that it needs was done */
+  double ended;     /* time of day, s: its final state was written; 0: not known */
+  bool stored;      /* its final state is in its own key, rather than derived from another's */
+  struct tmx_dependencies deps;
+  struct tmx_urgency urgency;
   double loaded_at; /* steady clock, s */
   int fin, team;
   struct tmx_task *tasks;
@@ -169,6 +175,9 @@
   int *slots_m, *slots_j; /* free places, and how many have ever been given */
   size_t n_slots_m, n_slots_j, cap_slots_m, cap_slots_j;
   int top_m, top_j;
+  bool pipelines; /* a job that awaits others was seen: records may tell more from now on */
+  struct tmx_job **unstored; /* cancelled through others; their own keys do not say so yet */
+  size_t n_unstored, cap_unstored;
   struct tmx_class classes[TMX_CLASSES_MAX];
   size_t n_classes;
   struct tmx_image_name *images; /* names are compared once: numbers from here on */
@@ -199,6 +208,12 @@
 void tmx_replica_load(struct tmx_replica *r, struct tmx_item *items, size_t n);
 void tmx_replica_reached(struct tmx_replica *r, uint64_t rev); /* all events to rev applied */
 
+/* For src/state/depend.c: a final state that was derived; what the planner knows has changed. */
+void tmx_replica_finish(struct tmx_replica *r, struct tmx_job *j, int fin);
+void tmx_replica_job_changed(struct tmx_replica *r, struct tmx_job *j);
+/* Drops from `unstored` what has been stored meanwhile. */
+void tmx_replica_tidy_unstored(struct tmx_replica *r);
+
 struct tmx_job *tmx_job_find(const struct tmx_replica *r, const char *id);
 struct tmx_machine *tmx_machine_find(const struct tmx_replica *r, const char *id);
 bool tmx_machine_gone(const struct tmx_replica *r, const char *id);
@@ -211,10 +226,34 @@
 
 /* wire forms */
 bool tmx_spec_parse(const cbor_item_t *m, struct tmx_spec *s, char *id, size_t id_cap);
+bool tmx_job_id_ok(const char *id);
+/* The ids that a submission names, each once; false: malformed. */
+bool tmx_awaits_parse(const cbor_item_t *m, struct tmx_awaits *a);
+/* A job's record, in the form that every version reads. */
 void tmx_job_encode(struct tmx_buf *b, const char *id, const struct tmx_spec *s, double submitted,
                     int fin);
-bool tmx_job_decode(const cbor_item_t *l, char *id, size_t cap, struct tmx_spec *s,
-                    double *submitted, uint64_t *fin);
+/* ... of one that may name others, with as many of their ids as `room` (bytes as JSON) leaves;
+ * returns how many. The rest follows in lines. */
+uint32_t tmx_job_encode_open(struct tmx_buf *b, const char *id, const struct tmx_spec *s,
+                             double submitted, const struct tmx_awaits *a, size_t room);
+/* ... of one that is over, cut down to what still counts where `room` asks for it. ended: time of
+ * day, s; 0 leaves it out. */
+void tmx_job_encode_final(struct tmx_buf *b, const struct tmx_job *j, int fin, double ended,
+                          size_t room);
+struct tmx_job_record { /* of a job, as it is stored */
+  char id[TMX_ID_MAX];
+  struct tmx_spec spec;
+  double submitted, ended;
+  uint64_t fin, n_awaits;    /* n_awaits: all that it names */
+  const cbor_item_t *awaits; /* text: the first of them; NULL: none */
+};
+bool tmx_job_decode(const cbor_item_t *l, struct tmx_job_record *out);
+/* Ids as they stand in a record or a line: without their common prefix, set apart by spaces. */
+size_t tmx_awaits_text(char *out, size_t cap, const struct tmx_awaits *a, uint32_t *from);
+void tmx_awaits_read(struct tmx_job *j, uint32_t from, const char *text);
+/* A line with ids from `*from` on, which moves behind them. */
+void tmx_awaits_print(char *out, size_t cap, const char *id, const struct tmx_awaits *a,
+                      uint32_t *from);
 bool tmx_task_parse(const char *s, char *job, size_t cap, uint32_t *index);
 /* Lines of a page, as the state stands: one machine; a run of tasks of a job from `from` on that
  * are alike (returns how many; 0 bytes printed if they were never placed). */
@@ -238,7 +277,8 @@
 #define TMX_LINE_MACHINE 'm'
 #define TMX_LINE_DRAIN 'd'
 #define TMX_LINE_GONE 'x'
-#define TMX_LINE_RUN 't' /* of a page: a run of tasks */
+#define TMX_LINE_RUN 't'    /* of a page: a run of tasks */
+#define TMX_LINE_AWAITS 'w' /* ids that a job names, from a position on */
 /* how an attempt ended */
 #define TMX_END_DONE 'd'
 #define TMX_END_STOPPED 's'
--- a/src/user/user.c
+++ b/src/user/user.c
@@ -23,6 +23,8 @@
   int otherwise; /* status for an unknown job */
   int tries;
   double since, until;
+  bool through_cancelled;            /* ASK_SUBMIT: it names a cancelled job */
+  struct tmx_submission *submission; /* ASK_SUBMIT: judged anew once the state was read */
 };
 
 struct tmx_users *tmx_users_new(struct tmx_ctl *c) {
@@ -63,19 +65,18 @@
   answer_named(q, 200, j->id, s, j);
 }
 
-static bool id_ok(const char *s) {
-  size_t n = strlen(W_JOB_PREFIX), len = strlen(s);
-  if (len <= n || len >= TMX_ID_MAX || strncmp(s, W_JOB_PREFIX, n)) return false;
-  for (s += n; *s; s++)
-    if (!strchr("0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ_.-", *s))
-      return false;
-  return true;
+static void free_submission(struct tmx_submission *s) {
+  if (!s) return;
+  tmx_awaits_free(&s->awaits);
+  free(s);
 }
 
 static void cancel_step(struct ask *a);
+static void submit_step(struct ask *a);
 
 static void done(struct ask *a) {
   a->u->waiting--;
+  free_submission(a->submission);
   free(a);
 }
 
@@ -84,7 +85,10 @@
   struct tmx_job *j = ok ? tmx_job_find(&a->u->c->rep, a->id) : NULL;
   if (!ok)
     refuse(a->req, "the state was not read in time");
-  else if (!j)
+  else if (!j && a->submission) {
+    submit_step(a);
+    return;
+  } else if (!j)
     tmx_req_reply(a->req, a->otherwise, NULL, a->otherwise == 503 ? tmx_retry_after() : 0);
   else if (a->kind == ASK_CANCEL && !j->fin) {
     cancel_step(a);
@@ -96,9 +100,10 @@
   done(a);
 }
 
-/* Waits until the replica holds all that was committed before this request came. */
+/* Waits until the replica holds all that was committed before this request came. A submission that
+ * is handed over is judged then, if nobody has submitted the job meanwhile. */
 static void ask(struct tmx_users *u, struct tmx_req *q, enum kind kind, const char *id,
-                int otherwise) {
+                int otherwise, struct tmx_submission *submission) {
   /* Where the state is out of reach nothing can be decided: the sender goes elsewhere at once. When
    * more ask than can be answered, those go first of whose job nobody was told here of late, so
    * that none stays without an answer however many others ask. */
@@ -108,6 +113,7 @@
   if (!a || !tmx_link_served(u->c->link) ||
       u->waiting >= (late ? TMX_USER_QUEUE : TMX_USER_QUEUE / 2)) {
     free(a);
+    free_submission(submission);
     refuse(q, tmx_link_served(u->c->link) ? "too many wait" : "no state");
     return;
   }
@@ -116,6 +122,7 @@
   a->req = q;
   a->kind = kind;
   a->otherwise = otherwise;
+  a->submission = submission;
   a->until = tmx_now() + within;
   snprintf(a->id, sizeof a->id, "%s", id);
   u->waiting++;
@@ -152,7 +159,7 @@
   /* Conditional on the job's own key, which also its completion rewrites; head is rewritten,
    * so that no batch planned before this can start one of its tasks. */
   tmx_txn_if(&t, key, j->stamp);
-  tmx_job_encode(&v, j->id, &j->spec, j->submitted, TMX_FIN_CANCELLED);
+  tmx_job_encode_final(&v, j, TMX_FIN_CANCELLED, 0, tmx_value_room(&c->set));
   tmx_txn_put(&t, key, &v, 0);
   tmx_txn_head(&t, c->set.node);
   tmx_buf_free(&v);
@@ -169,7 +176,7 @@
   if (res == TMX_TXN_OK) {
     if (tmx_log_on(TMX_DEBUG))
       tmx_log(TMX_DEBUG, "job: %s accepted in %.0f ms", a->id, (tmx_now() - a->since) * 1000);
-    answer_named(a->req, 201, a->id, WV_PENDING, NULL);
+    answer_named(a->req, 201, a->id, a->through_cancelled ? WV_CANCELLED : WV_PENDING, NULL);
     done(a);
   } else if (res == TMX_TXN_CONFLICT && /* known already: its state is read first */
              tmx_link_confirm(a->u->c->link, TMX_SUBMIT_WAIT_S, on_confirm, a)) {
@@ -204,55 +211,126 @@
   return 422;
 }
 
-static void submit(struct tmx_users *u, struct tmx_req *q) {
-  struct tmx_ctl *c = u->c;
-  struct tmx_spec spec;
-  char id[TMX_ID_MAX] = "";
+enum awaits_verdict { AWAITS_OK, AWAITS_UNKNOWN, AWAITS_NEVER };
+
+/* May the job wait for these. Jobs are never forgotten, so a name once known stays known; that one
+ * is unknown can be said only after a read that began after the request. */
+static enum awaits_verdict judge_awaits(const struct tmx_replica *r,
+                                        const struct tmx_submission *s) {
+  enum awaits_verdict verdict = AWAITS_OK;
+  for (uint32_t i = 0; i < s->awaits.n; i++) {
+    const struct tmx_job *j = tmx_job_find(r, s->awaits.ids[i]);
+    if (!strcmp(s->awaits.ids[i], s->id)) return AWAITS_NEVER;
+    if (j && j->spec.service) return AWAITS_NEVER; /* it runs until it is cancelled */
+    if (!j) verdict = AWAITS_UNKNOWN;
+  }
+  return verdict;
+}
+
+/* A job that is done stays done: only the others need to be stored. */
+static void drop_done(const struct tmx_replica *r, struct tmx_awaits *a) {
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < a->n; i++) {
+    const struct tmx_job *j = tmx_job_find(r, a->ids[i]);
+    if (j && j->fin == TMX_FIN_DONE) continue;
+    if (n != i) memcpy(a->ids[n], a->ids[i], TMX_ID_MAX);
+    n++;
+  }
+  a->n = n;
+}
+
+static bool names_cancelled(const struct tmx_replica *r, const struct tmx_awaits *a) {
+  for (uint32_t i = 0; i < a->n; i++) {
+    const struct tmx_job *j = tmx_job_find(r, a->ids[i]);
+    if (j && j->fin == TMX_FIN_CANCELLED) return true;
+  }
+  return false;
+}
+
+/* Hands a submission whose names are known over to the log. */
+static void send_arrival(struct ask *a) {
+  struct tmx_ctl *c = a->u->c;
+  struct tmx_submission *s = a->submission;
+  a->submission = NULL;
+  drop_done(&c->rep, &s->awaits);
+  a->through_cancelled = names_cancelled(&c->rep, &s->awaits);
+  enum tmx_arrival_result result =
+      a->u->waiting > TMX_USER_QUEUE ? TMX_ARRIVAL_LATER
+                                     : tmx_rounds_arrival(c, s, TMX_SUBMIT_WAIT_S, on_submitted, a);
+  free_submission(s);
+  if (result == TMX_ARRIVAL_TAKEN) return;
+  if (result == TMX_ARRIVAL_TOO_LARGE) {
+    /* it may be known, by another body, to the others */
+    a->otherwise = 422;
+    if (tmx_link_confirm(a->u->c->link, TMX_SUBMIT_WAIT_S, on_confirm, a)) return;
+  }
+  refuse(a->req, "too many submissions");
+  done(a);
+}
+
+/* The state was read after the request came, and the job is not known. */
+static void submit_step(struct ask *a) {
+  if (judge_awaits(&a->u->c->rep, a->submission) == AWAITS_OK) {
+    send_arrival(a);
+    return;
+  }
+  tmx_req_reply(a->req, 422, NULL, 0);
+  done(a);
+}
+
+/* false: the body is not even a named submission. whole: nothing in it is malformed. */
+static bool read_submission(const struct tmx_req *q, struct tmx_submission *s, bool *whole) {
   cbor_item_t *m = tmx_cbor_parse(q->body, q->body_len);
-  bool named = m && tmx_r_kstr(m, W_ID, id, sizeof id) && id_ok(id);
-  bool whole = named && tmx_spec_parse(m, &spec, id, sizeof id);
+  bool named = m && tmx_r_kstr(m, W_ID, s->id, sizeof s->id) && tmx_job_id_ok(s->id);
+  *whole =
+      named && tmx_spec_parse(m, &s->spec, s->id, sizeof s->id) && tmx_awaits_parse(m, &s->awaits);
   tmx_cbor_free(m);
-  if (!named) {
+  return named;
+}
+
+static void submit(struct tmx_users *u, struct tmx_req *q) {
+  struct tmx_ctl *c = u->c;
+  struct tmx_submission *s = calloc(1, sizeof *s);
+  bool whole;
+  if (!s) abort();
+  if (!read_submission(q, s, &whole)) {
+    free_submission(s);
     tmx_req_reply(q, 400, NULL, 0);
     return;
   }
   if (!c->rep.loaded || !tmx_link_served(c->link)) {
+    free_submission(s);
     refuse(q, "no state");
     return;
   }
   /* A known job is answered before any validation: what was accepted stays accepted. */
-  struct tmx_job *j = tmx_job_find(&c->rep, id);
+  struct tmx_job *j = tmx_job_find(&c->rep, s->id);
   if (j && j->fin) {
+    free_submission(s);
     answer_job(q, j);
     return;
   }
-  int verdict = j ? 503 : whole ? judge(c, &spec) : 400;
-  if (verdict) {
-    ask(u, q, ASK_SUBMIT, id, verdict);
+  int verdict = j ? 503 : whole ? judge(c, &s->spec) : 400;
+  enum awaits_verdict awaits = verdict ? AWAITS_OK : judge_awaits(&c->rep, s);
+  if (awaits == AWAITS_NEVER) verdict = 422;
+  s->submitted = tmx_wall();
+  if (verdict || awaits == AWAITS_UNKNOWN) {
+    char id[TMX_ID_MAX];
+    memcpy(id, s->id, sizeof id);
+    if (verdict) free_submission(s);
+    ask(u, q, ASK_SUBMIT, id, verdict, verdict ? NULL : s);
     return;
   }
   struct ask *a = calloc(1, sizeof *a);
-  struct tmx_buf v = {0};
   if (!a) abort();
-  tmx_job_encode(&v, id, &spec, tmx_wall(), TMX_OPEN);
-  if (tmx_json_len(&v) > tmx_value_room(&c->set)) {
-    tmx_buf_free(&v);
-    free(a);
-    ask(u, q, ASK_SUBMIT, id, 400); /* it may be known, by another body, to the others */
-    return;
-  }
   a->u = u;
   a->req = q;
   a->kind = ASK_SUBMIT;
   a->since = tmx_now();
-  snprintf(a->id, sizeof a->id, "%s", id);
+  a->submission = s;
+  memcpy(a->id, s->id, sizeof a->id);
   u->waiting++;
-  if (u->waiting > TMX_USER_QUEUE ||
-      !tmx_rounds_arrival(c, id, &v, TMX_SUBMIT_WAIT_S, on_submitted, a)) {
-    tmx_buf_free(&v);
-    refuse(q, "too many submissions");
-    done(a);
-  }
+  send_arrival(a);
 }
 
 bool tmx_users_handle(struct tmx_users *u, struct tmx_req *q) {
@@ -279,7 +357,7 @@
     tmx_req_reply(q, 405, NULL, 0);
     return true;
   }
-  if (!id_ok(id)) {
+  if (!tmx_job_id_ok(id)) {
     tmx_req_reply(q, 404, NULL, 0);
     return true;
   }
@@ -293,6 +371,6 @@
   else if (j && j->fin)
     answer_job(q, j); /* a final state never changes: no read is needed */
   else
-    ask(u, q, cancel ? ASK_CANCEL : ASK_POLL, id, 404);
+    ask(u, q, cancel ? ASK_CANCEL : ASK_POLL, id, 404, NULL);
   return true;
 }
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -61,7 +61,7 @@
   j->spec = s;
   j->zone = -1;
   j->open = true;
-  j->submitted = 95;
+  j->released = 95;
   j->stuck_since = 95;
   j->aim_s = 600;
   j->run_s = 50;
@@ -84,6 +84,7 @@
     *j = p->jobs[i];
     j->spec = malloc(sizeof *j->spec);
     *j->spec = *p->jobs[i].spec;
+    j->priority = j->spec->priority;
     j->waits = calloc(j->n_waits + 1, sizeof *j->waits);
     memcpy(j->waits, p->jobs[i].waits, j->n_waits * sizeof *j->waits);
   }
@@ -329,19 +330,19 @@
   job(in, 0, false, 200, 4); /* large, so last in the order */
   job(in, 1, false, 200, 2);
   in->in.wall = in->in.now = 1000;
-  in->jobs[0].submitted = 1000 - TMX_BEGIN_S - 1;
-  in->jobs[1].submitted = 999;
+  in->jobs[0].released = 1000 - TMX_BEGIN_S - 1;
+  in->jobs[1].released = 999;
   in->machines[0].ucpus = 12;
   plan(in, &out);
   assert_int_equal(out.n_ops, 1);
   assert_string_equal(out.ops[0].job, "wk-000000");
   free(out.ops);
-  in->jobs[0].submitted = 990;
+  in->jobs[0].released = 990;
   plan(in, &out);
   assert_string_equal(out.ops[0].job, "wk-000001");
   free(out.ops);
   /* begun, it still gets its share of what is placed over many rounds */
-  in->jobs[0].submitted = 1000 - TMX_BEGIN_S - 1;
+  in->jobs[0].released = 1000 - TMX_BEGIN_S - 1;
   in->jobs[0].n_done = 1;
   struct tmx_model *md = tell(in);
   int large = 0, all = 0;
