--- a/src/state/lines.c
+++ b/src/state/lines.c
@@ -102,25 +102,30 @@
   encode_spec(b, RECORD_FIELDS, id, s, submitted, fin);
 }
 
+static void encode_awaiting(struct tmx_buf *b, const char *id, const struct tmx_spec *s,
+                            double submitted, uint32_t n_awaits, const char *awaits) {
+  encode_spec(b, RECORD_FIELDS_ALL, id, s, submitted, TMX_OPEN);
+  tmx_w_str(b, awaits);
+  tmx_w_u64(b, n_awaits);
+  tmx_w_u64(b, 0);
+}
+
 uint32_t tmx_job_encode_open(struct tmx_buf *b, const char *id, const struct tmx_spec *s,
                              double submitted, const struct tmx_awaits *a, size_t room) {
   if (!a->n) {
     tmx_job_encode(b, id, s, submitted, TMX_OPEN);
     return 0;
   }
-  struct tmx_buf head = {0};
-  encode_spec(&head, RECORD_FIELDS_ALL, id, s, submitted, TMX_OPEN);
-  size_t used = tmx_json_len(&head) + TMX_JSON_FRAME;
+  struct tmx_buf bare = {0};
+  encode_awaiting(&bare, id, s, submitted, a->n, "");
+  size_t used = tmx_json_len(&bare);
   size_t left = room > used ? room - used : 0;
   uint32_t written = 0;
   char *text = calloc(1, left + 1);
   if (!text) abort();
   tmx_awaits_text(text, left + 1, a, &written);
-  tmx_buf_add(b, head.p, head.n);
-  tmx_w_str(b, text);
-  tmx_w_u64(b, a->n);
-  tmx_w_u64(b, 0);
-  tmx_buf_free(&head);
+  encode_awaiting(b, id, s, submitted, a->n, text);
+  tmx_buf_free(&bare);
   free(text);
   return written;
 }
--- /dev/null
+++ b/tests/test_depend.c
@@ -0,0 +1,360 @@
+/* Dependencies between jobs, on the replica alone: what the log says of one job is derived for
+ * those that await it, at once, after a load and after a fold. */
+#include "test.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config/settings.h"
+#include "core/plan.h"
+#include "state/check.h"
+#include "state/replica.h"
+
+static struct tmx_settings set;
+static struct tmx_replica rep;
+static uint64_t revision;
+
+static int setup(void **st) {
+  (void)st;
+  memset(&set, 0, sizeof set);
+  strcpy(set.zones[0], "a");
+  set.n_zones = 1;
+  strcpy(set.teams[0].name, "t");
+  set.n_teams = 1;
+  revision = 0;
+  tmx_replica_init(&rep, &set);
+  rep.loaded = true;
+  return 0;
+}
+
+static int teardown(void **st) {
+  (void)st;
+  tmx_replica_clear(&rep);
+  return 0;
+}
+
+static void apply(const char *key, struct tmx_buf *b) {
+  cbor_item_t *value = tmx_cbor_parse(b->p, b->n);
+  assert_non_null(value);
+  tmx_replica_apply(&rep, key, ++revision, value);
+  tmx_cbor_free(value);
+  tmx_buf_free(b);
+}
+
+static struct tmx_spec spec(void) {
+  struct tmx_spec s = {.tasks = 1, .cpus = 2, .mem = 1, .deadline_s = -1, .estimate_s = 10};
+  s.priority = TMX_PRIO_LOW;
+  strcpy(s.class, "c");
+  strcpy(s.team, "t");
+  strcpy(s.image, "i");
+  return s;
+}
+
+static const char *job_key(const char *id) {
+  static char key[TMX_KEY_MAX];
+  snprintf(key, sizeof key, TMX_K_JOB "%s", id);
+  return key;
+}
+
+/* A job that names the given ids, set apart by spaces. */
+static void put_spec(const char *id, const struct tmx_spec *s, double submitted,
+                     const char *names) {
+  struct tmx_awaits awaits = {.ids = calloc(8, TMX_ID_MAX)};
+  struct tmx_buf b = {0};
+  char copy[256], *name[8];
+  snprintf(copy, sizeof copy, "%s", names);
+  awaits.n = (uint32_t)tmx_line_fields(copy, name, 8);
+  for (uint32_t i = 0; i < awaits.n; i++) snprintf(awaits.ids[i], TMX_ID_MAX, "%s", name[i]);
+  assert_int_equal(tmx_job_encode_open(&b, id, s, submitted, &awaits, 2000), awaits.n);
+  tmx_awaits_free(&awaits);
+  apply(job_key(id), &b);
+}
+static void put(const char *id, const char *names) {
+  struct tmx_spec s = spec();
+  put_spec(id, &s, 100, names);
+}
+
+static struct tmx_job *job(const char *id) {
+  struct tmx_job *j = tmx_job_find(&rep, id);
+  assert_non_null(j);
+  return j;
+}
+
+static void end(const char *id, int fin, double at) {
+  struct tmx_buf b = {0};
+  tmx_job_encode_final(&b, job(id), fin, at, 2000);
+  apply(job_key(id), &b);
+}
+
+static void put_lines(const char *line) {
+  struct tmx_buf b = {0}, list = {0};
+  tmx_w_str(&list, line);
+  tmx_lines_encode(&b, NULL, 0, &list, 1);
+  tmx_buf_free(&list);
+  apply(TMX_K_BATCH "h/1", &b);
+}
+
+static bool placeable(const char *id) {
+  struct tmx_op o = {.op = TMX_OP_PLACE, .attempt = 1};
+  struct tmx_check check;
+  snprintf(o.job, sizeof o.job, "%s", id);
+  strcpy(o.machine, "n-1");
+  put_lines("m n-1 127.0.0.1:1 big a 0 0");
+  struct tmx_machine *m = tmx_machine_find(&rep, "n-1");
+  m->size_cpus = m->size_mem = 64;
+  tmx_check_begin(&check, &rep);
+  return tmx_check_op(&check, &o);
+}
+
+/* too_early: no line that places a blocked job passes the check, whoever planned it. */
+static void blocked_until_all_are_done(void **st) {
+  (void)st;
+  put("wk-a", "");
+  put("wk-b", "");
+  put("wk-c", "wk-a wk-b");
+  assert_true(tmx_job_blocked(job("wk-c")));
+  assert_true(rep.asked == 4); /* of a and b: c asks for nothing yet */
+  assert_false(placeable("wk-c"));
+  end("wk-a", TMX_FIN_DONE, 150);
+  assert_false(placeable("wk-c"));
+  end("wk-b", TMX_FIN_DONE, 170);
+  assert_false(tmx_job_blocked(job("wk-c")));
+  assert_true(job("wk-c")->released == 170);
+  assert_true(rep.asked == 2);
+  assert_true(placeable("wk-c"));
+}
+
+/* orphaned: one cancellation ends all that needs the job, directly or not, at its own revision. */
+static void cancellation_reaches_the_end_of_the_chain(void **st) {
+  (void)st;
+  put("wk-a", "");
+  put("wk-b", "wk-a");
+  put("wk-c", "wk-b");
+  put("wk-d", "");
+  put("wk-e", "wk-c wk-d");
+  end("wk-a", TMX_FIN_CANCELLED, 0);
+  for (const char **id = (const char *[]){"wk-b", "wk-c", "wk-e", NULL}; *id; id++)
+    assert_int_equal(job(*id)->fin, TMX_FIN_CANCELLED);
+  assert_int_equal(job("wk-d")->fin, TMX_OPEN);
+  assert_true(rep.asked == 2);
+  assert_int_equal(rep.n_unstored, 3);
+  end("wk-b", TMX_FIN_CANCELLED, 0);
+  tmx_replica_tidy_unstored(&rep);
+  assert_int_equal(rep.n_unstored, 2);
+  end("wk-d", TMX_FIN_DONE, 160); /* comes too late for the others */
+  assert_int_equal(job("wk-e")->fin, TMX_FIN_CANCELLED);
+}
+
+static void names_a_cancelled_job(void **st) {
+  (void)st;
+  put("wk-a", "");
+  put("wk-b", "");
+  end("wk-a", TMX_FIN_CANCELLED, 0);
+  put("wk-c", "wk-a wk-b");
+  assert_int_equal(job("wk-c")->fin, TMX_FIN_CANCELLED);
+  put("wk-d", "wk-c");
+  assert_int_equal(job("wk-d")->fin, TMX_FIN_CANCELLED);
+}
+
+/* A cancellation at the last end: the job's key lets one of the two win, and all follow it. */
+static void done_wins_for_the_jobs_after_it(void **st) {
+  (void)st;
+  put("wk-a", "");
+  put("wk-b", "wk-a");
+  end("wk-a", TMX_FIN_DONE, 150);
+  assert_int_equal(job("wk-b")->fin, TMX_OPEN);
+  assert_false(tmx_job_blocked(job("wk-b")));
+}
+
+static void load_all(struct tmx_item *items, size_t n) {
+  tmx_replica_clear(&rep);
+  rep.load_until = 100;
+  tmx_replica_load(&rep, items, n);
+  tmx_replica_reached(&rep, 100);
+  assert_true(rep.loaded);
+}
+
+static cbor_item_t *encoded(const char *id, const char *names, int fin, double ended) {
+  struct tmx_awaits awaits = {.ids = calloc(1, TMX_ID_MAX), .n = names[0] != 0};
+  struct tmx_spec s = spec();
+  struct tmx_buf b = {0};
+  struct tmx_job j = {.spec = s, .submitted = 100};
+  snprintf(j.id, sizeof j.id, "%s", id);
+  snprintf(awaits.ids[0], TMX_ID_MAX, "%s", names);
+  if (fin)
+    tmx_job_encode_final(&b, &j, fin, ended, 2000);
+  else
+    tmx_job_encode_open(&b, id, &s, 100, &awaits, 2000);
+  cbor_item_t *value = tmx_cbor_parse(b.p, b.n);
+  tmx_awaits_free(&awaits);
+  tmx_buf_free(&b);
+  return value;
+}
+
+/* A controller that starts reads keys in another order than they were written. Release and
+ * cancellation are the same as on those that saw it happen, the time of the release too. */
+static void derived_again_after_a_load(void **st) {
+  (void)st;
+  struct tmx_item items[] = {
+      {TMX_K_JOB "wk-a", 9, encoded("wk-a", "", TMX_FIN_DONE, 180)},
+      {TMX_K_JOB "wk-b", 2, encoded("wk-b", "wk-a", 0, 0)},
+      {TMX_K_JOB "wk-c", 1, encoded("wk-c", "wk-d", 0, 0)},
+      {TMX_K_JOB "wk-d", 3, encoded("wk-d", "wk-e", 0, 0)},
+      {TMX_K_JOB "wk-e", 8, encoded("wk-e", "", TMX_FIN_CANCELLED, 0)},
+  };
+  size_t n = sizeof items / sizeof items[0];
+  load_all(items, n);
+  assert_false(tmx_job_blocked(job("wk-b")));
+  assert_true(job("wk-b")->released == 180);
+  assert_int_equal(job("wk-c")->fin, TMX_FIN_CANCELLED);
+  assert_int_equal(job("wk-d")->fin, TMX_FIN_CANCELLED);
+  assert_int_equal(rep.n_unstored, 2);
+  for (size_t i = 0; i < n; i++) tmx_cbor_free((cbor_item_t *)items[i].value);
+}
+
+/* Ids without room in the record come in lines: until all are there the job is blocked, and lines
+ * that are applied again change nothing. */
+static void names_in_lines(void **st) {
+  (void)st;
+  struct tmx_spec s = spec();
+  struct tmx_awaits awaits = {.ids = calloc(400, TMX_ID_MAX), .n = 400};
+  struct tmx_buf b = {0};
+  char line[TMX_LINE_MAX];
+  for (uint32_t i = 0; i < 400; i++) {
+    snprintf(awaits.ids[i], TMX_ID_MAX, "wk-%06u", i);
+    put(awaits.ids[i], "");
+  }
+  uint32_t at = tmx_job_encode_open(&b, "wk-last", &s, 100, &awaits, 900);
+  assert_true(tmx_json_len(&b) <= 900);
+  assert_in_range(at, 50, 399);
+  apply(job_key("wk-last"), &b);
+  uint32_t second = at;
+  tmx_awaits_print(line, sizeof line, "wk-last", &awaits, &second);
+  while (at < awaits.n) {
+    assert_true(tmx_job_blocked(job("wk-last")));
+    assert_null(job("wk-last")->deps.needs);
+    tmx_awaits_print(line, sizeof line, "wk-last", &awaits, &at);
+    assert_true(strlen(line) < TMX_LINE_MAX);
+    put_lines(line);
+    put_lines(line);
+  }
+  assert_int_equal(job("wk-last")->deps.n_unfinished, 400);
+  for (uint32_t i = 0; i < 400; i++) {
+    assert_true(tmx_job_blocked(job("wk-last")));
+    end(awaits.ids[i], TMX_FIN_DONE, 110);
+  }
+  assert_false(tmx_job_blocked(job("wk-last")));
+  tmx_awaits_free(&awaits);
+}
+
+/* The last job's priority and deadline count for all before it, less the runs in between, and no
+ * more once it is gone. */
+static void urgency_of_the_last_job(void **st) {
+  (void)st;
+  struct tmx_spec s = spec();
+  put("wk-a", "");
+  put("wk-b", "wk-a");
+  s.priority = TMX_PRIO_HIGH;
+  s.deadline_s = 90;
+  put_spec("wk-c", &s, 100, "wk-b");
+  assert_int_equal(job("wk-b")->urgency.priority, TMX_PRIO_HIGH);
+  assert_int_equal(job("wk-a")->urgency.priority, TMX_PRIO_HIGH);
+  assert_true(job("wk-c")->urgency.due_at == 190);
+  assert_true(job("wk-b")->urgency.due_at == 180);
+  assert_true(job("wk-a")->urgency.due_at == 170);
+  s.priority = TMX_PRIO_NORMAL;
+  s.deadline_s = 120;
+  put_spec("wk-d", &s, 100, "wk-b");
+  end("wk-c", TMX_FIN_CANCELLED, 0);
+  assert_int_equal(job("wk-b")->urgency.priority, TMX_PRIO_NORMAL);
+  assert_int_equal(job("wk-a")->urgency.priority, TMX_PRIO_NORMAL);
+  assert_true(job("wk-a")->urgency.due_at == 200);
+  end("wk-d", TMX_FIN_CANCELLED, 0);
+  assert_int_equal(job("wk-a")->urgency.priority, TMX_PRIO_LOW);
+  assert_true(isinf(job("wk-a")->urgency.due_at));
+}
+
+/* Long chains and wide fans cost what they contain, and nothing recurses. */
+static void long_chains_and_wide_fans(void **st) {
+  (void)st;
+  enum { CHAIN = 20000, FAN = 5000 };
+  char id[TMX_ID_MAX], before[TMX_ID_MAX] = "";
+  for (int i = 0; i < CHAIN; i++) {
+    snprintf(id, sizeof id, "wk-c%d", i);
+    put(id, before);
+    strcpy(before, id);
+  }
+  for (int i = 0; i < FAN; i++) {
+    snprintf(id, sizeof id, "wk-f%d", i);
+    put(id, before);
+  }
+  end("wk-c0", TMX_FIN_CANCELLED, 0);
+  assert_int_equal(rep.n_unstored, CHAIN - 1 + FAN);
+  assert_int_equal(job("wk-f4999")->fin, TMX_FIN_CANCELLED);
+}
+
+/* The version in production reads records of 19 entries: those of jobs that await nothing and are
+ * awaited by none must have just these. */
+static void form_without_dependencies(void **st) {
+  (void)st;
+  struct tmx_spec s = spec();
+  struct tmx_awaits none = {0};
+  struct tmx_buf before = {0}, now = {0};
+  tmx_job_encode(&before, "wk-a", &s, 100, TMX_OPEN);
+  tmx_job_encode_open(&now, "wk-a", &s, 100, &none, 2000);
+  assert_int_equal(now.n, before.n);
+  assert_memory_equal(now.p, before.p, now.n);
+  put("wk-a", "");
+  before.n = now.n = 0;
+  tmx_job_encode(&before, "wk-a", &s, 100, TMX_FIN_DONE);
+  tmx_job_encode_final(&now, job("wk-a"), TMX_FIN_DONE, 0, 2000);
+  assert_int_equal(now.n, before.n);
+  assert_memory_equal(now.p, before.p, now.n);
+  assert_false(rep.pipelines);
+  tmx_buf_free(&before);
+  tmx_buf_free(&now);
+}
+
+/* A job that was accepted under a larger limit must still come to its final state. */
+static void final_state_fits_the_smallest_value(void **st) {
+  (void)st;
+  struct tmx_job j = {.spec = spec(), .submitted = 1.7e9 + 0.123456};
+  struct tmx_buf b = {0};
+  set.value_kb = 1;
+  memset(j.id, 'x', sizeof j.id - 1);
+  memset(j.spec.class, 'c', TMX_NAME_MAX - 1);
+  memset(j.spec.team, 't', TMX_NAME_MAX - 1);
+  memset(j.spec.image, 'i', TMX_NAME_MAX - 1);
+  memset(j.spec.zone, 'z', TMX_NAME_MAX - 1);
+  j.spec.n_types = TMX_TYPES_MAX;
+  for (size_t i = 0; i < TMX_TYPES_MAX; i++) memset(j.spec.types[i], 'y', TMX_ID_MAX - 1);
+  j.spec.cpus = j.spec.mem = j.spec.image_gb = 1.0 / 3;
+  tmx_job_encode_final(&b, &j, TMX_FIN_DONE, 1.7e9 + 0.654321, tmx_value_room(&set));
+  assert_true(tmx_json_len(&b) <= tmx_value_room(&set));
+  struct tmx_job_record record;
+  cbor_item_t *value = tmx_cbor_parse(b.p, b.n);
+  assert_true(tmx_job_decode(value, &record));
+  assert_int_equal(record.fin, TMX_FIN_DONE);
+  assert_string_equal(record.spec.team, j.spec.team);
+  assert_true(record.spec.cpus == j.spec.cpus);
+  tmx_cbor_free(value);
+  tmx_buf_free(&b);
+}
+
+int main(void) {
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test_setup_teardown(blocked_until_all_are_done, setup, teardown),
+      cmocka_unit_test_setup_teardown(cancellation_reaches_the_end_of_the_chain, setup, teardown),
+      cmocka_unit_test_setup_teardown(names_a_cancelled_job, setup, teardown),
+      cmocka_unit_test_setup_teardown(done_wins_for_the_jobs_after_it, setup, teardown),
+      cmocka_unit_test_setup_teardown(derived_again_after_a_load, setup, teardown),
+      cmocka_unit_test_setup_teardown(names_in_lines, setup, teardown),
+      cmocka_unit_test_setup_teardown(urgency_of_the_last_job, setup, teardown),
+      cmocka_unit_test_setup_teardown(long_chains_and_wide_fans, setup, teardown),
+      cmocka_unit_test_setup_teardown(form_without_dependencies, setup, teardown),
+      cmocka_unit_test_setup_teardown(final_state_fits_the_smallest_value, setup, teardown),
+  };
+  return cmocka_run_group_tests(tests, NULL, NULL);
+}
