--- a/tests/fake.c
+++ b/tests/fake.c
@@ -200,6 +200,7 @@
 }
 
 static bool too_large(const cbor_item_t *then) {
+  if (state.txn_max && tmx_r_len(then) > state.txn_max) return true;
   for (size_t i = 0; state.value_max && i < tmx_r_len(then); i++) {
     const cbor_item_t *v = tmx_r_get(tmx_r_at(then, i), W_VALUE);
     if (v && json_size(v) > state.value_max) return true;
@@ -668,7 +669,16 @@
 
 void submission(struct tmx_buf *b, const char *id, const char *kind, uint32_t tasks, double cpus,
                 const char *team) {
-  tmx_w_map(b, 17);
+  submission_awaiting(b, id, kind, tasks, cpus, team, NULL);
+}
+
+void submission_awaiting(struct tmx_buf *b, const char *id, const char *kind, uint32_t tasks,
+                         double cpus, const char *team, const struct tmx_buf *awaits) {
+  tmx_w_map(b, awaits ? 18 : 17);
+  if (awaits) {
+    tmx_w_str(b, W_AWAITS);
+    tmx_buf_add(b, awaits->p, awaits->n);
+  }
   tmx_w_kstr(b, W_ID, id);
   tmx_w_kstr(b, W_CLASS, "c");
   tmx_w_kstr(b, W_TEAM, team);
--- a/tests/fake.h
+++ b/tests/fake.h
@@ -60,6 +60,7 @@
   unsigned lapsed_puts;
   unsigned commits, conflicts;
   size_t value_max; /* bytes as JSON; 0: no limit */
+  size_t txn_max;   /* puts and drops; 0: no limit */
   unsigned too_large;
   struct fake_door doors[FAKE_NODES];
 };
@@ -135,6 +136,9 @@
 
 void submission(struct tmx_buf *b, const char *id, const char *kind, uint32_t tasks, double cpus,
                 const char *team);
+/* One that awaits others: a submission with the encoded list in place of nothing. */
+void submission_awaiting(struct tmx_buf *b, const char *id, const char *kind, uint32_t tasks,
+                         double cpus, const char *team, const struct tmx_buf *awaits);
 int submit(struct tmx_ctl *c, const char *id, const char *kind, uint32_t tasks, double cpus,
            const char *team);
 struct fake_answer call(struct tmx_ctl *c, const char *method, const char *path,
--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -137,6 +137,39 @@
     "\"cloud\":{\"rps\":10,\"list_lag_s\":8},"
     "\"quota\":{\"core_share\":0.3,\"ram_mb\":264,\"sockets\":5000},\"clock_off_ms\":5}}";
 
+/* The limits to come: the smaller of both counts, field by field, and each is checked. */
+static void next_limits(void) {
+  static const struct {
+    const char *next, *wrong;
+    double write_rps, value_kb;
+    int txn_ops;
+  } cases[] = {
+      {"null", NULL, 40, 16, 32},
+      {"{}", NULL, 40, 16, 32},
+      {"{\"write_rps\":18,\"value_kb\":2,\"txn_ops\":4}", NULL, 18, 2, 4},
+      {"{\"write_rps\":90,\"value_kb\":32,\"txn_ops\":64}", NULL, 40, 16, 32},
+      {"{\"value_kb\":2,\"other\":1}", NULL, 40, 2, 32},
+      {"7", "state.next", 0, 0, 0},
+      {"{\"write_rps\":\"x\"}", "state.next.write_rps", 0, 0, 0},
+      {"{\"value_kb\":0.5}", "state.next.value_kb", 0, 0, 0},
+      {"{\"txn_ops\":3}", "state.next.txn_ops", 0, 0, 0},
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++) {
+    struct tmx_settings s;
+    char err[256], text[2048];
+    const char *at = strstr(good, "\"txn_ops\"");
+    assert_non_null(at);
+    snprintf(text, sizeof text, "%.*s\"next\":%s,%s", (int)(at - good), good, cases[i].next, at);
+    assert_int_equal(tmx_settings_parse(&s, text, err, sizeof err), !cases[i].wrong);
+    if (cases[i].wrong) {
+      assert_non_null(strstr(err, cases[i].wrong));
+      continue;
+    }
+    assert_true(s.write_rps == cases[i].write_rps && s.value_kb == cases[i].value_kb);
+    assert_int_equal(s.txn_ops, cases[i].txn_ops);
+  }
+}
+
 static void settings(void **st) {
   (void)st;
   struct tmx_settings s;
@@ -157,6 +190,7 @@
     assert_non_null(strstr(err, fields[i]));
     assert_null(strchr(err, '\n'));
   }
+  next_limits();
   /* so little lies between a lease and a cancellation that no freshness bound is safe: refused, and
    * not clamped; of long leases drifting clocks take their part */
   static const char *tight[] = {"\"lease_s\":37.5,", "\"lease_s\":20.0,", "\"lease_s\":2995.0,"};
--- /dev/null
+++ b/tests/test_pipelines.c
@@ -0,0 +1,460 @@
+/* Pipelines against scripted peers: jobs that await others, from the submission to the last end,
+ * through restarts, folds and limits that are lowered. Each test fails if its guard is taken out.
+ */
+#include "fake.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "net/log.h"
+#include "tmx/wire.h"
+
+static struct tmx_ctl *a, *b;
+static struct fake_worker w;
+
+static bool typed(void *arg) {
+  struct tmx_ctl *c = arg;
+  size_t n;
+  tmx_cloud_types(c->cloud, &n);
+  return n > 0 && tmx_link_member(c->link) && tmx_ctl_fresh(c);
+}
+static int setup(void **st) {
+  (void)st;
+  fake_open();
+  worker_open(&w, "n-000001");
+  a = controller(0, 1);
+  b = NULL;
+  assert_true(pump(typed, a));
+  return 0;
+}
+static int setup_two(void **st) {
+  (void)st;
+  fake_open();
+  worker_open(&w, "n-000001");
+  a = controller(0, 2);
+  assert_true(pump(typed, a));
+  b = controller(1, 2);
+  assert_true(pump(typed, b));
+  pump_for(0.5);
+  return 0;
+}
+static int teardown(void **st) {
+  (void)st;
+  if (a) controller_end(a);
+  if (b) controller_end(b);
+  a = b = NULL;
+  tmx_server_free(w.srv);
+  fake_close();
+  return 0;
+}
+
+static bool registered(const struct tmx_ctl *c) {
+  struct tmx_machine *m = tmx_machine_find(&c->rep, w.id);
+  return m && m->known;
+}
+static void report(void) { /* to whichever of the two owns the machine */
+  worker_report(&w, a);
+  if (b && w.status != 200) worker_report(&w, b);
+}
+static void up(void) {
+  for (int i = 0; i < 20 && !(registered(a) && (!b || registered(b))); i++) {
+    report();
+    pump_for(0.1);
+  }
+  assert_true(registered(a) && (!b || registered(b)));
+}
+static bool starts(void *arg) { return w.executed_starts >= *(unsigned *)arg; }
+static void wait_starts(unsigned n) { assert_true(pump(starts, &n)); }
+static void restart(void) {
+  controller_end(a);
+  a = controller(0, 1);
+  assert_true(pump(typed, a));
+}
+static bool has_state(void *arg) {
+  const char **x = arg;
+  struct fake_answer r = poll_job(a, x[0]);
+  return r.status == 200 && !strcmp(r.state, x[1]);
+}
+static void wait_state(const char *id, const char *st) {
+  const char *x[] = {id, st};
+  assert_true(pump(has_state, x));
+}
+static void all_end(void) { /* whatever runs on the machine */
+  for (size_t i = 0; i < w.n_loads; i++) {
+    if (strcmp(w.loads[i].state, WV_RUNNING)) continue;
+    snprintf(w.loads[i].state, sizeof w.loads[i].state, WV_EXITED);
+    snprintf(w.loads[i].why, sizeof w.loads[i].why, WV_DONE);
+  }
+  report();
+  worker_do(&w);
+}
+static void ends(const char *task, uint32_t attempt) {
+  worker_set(&w, task, attempt, WV_EXITED, WV_DONE);
+  report();
+}
+
+/* A list of ids, each a text, set apart by spaces in `names`. */
+static struct fake_answer submit_named(struct tmx_ctl *c, const char *id, const char *names) {
+  struct tmx_buf list = {0}, body = {0};
+  char copy[256], *name[8];
+  snprintf(copy, sizeof copy, "%s", names);
+  size_t n = tmx_line_fields(copy, name, 8);
+  tmx_w_list(&list, n);
+  for (size_t i = 0; i < n; i++) tmx_w_str(&list, name[i]);
+  submission_awaiting(&body, id, WV_ARRAY, 1, 2, "t", &list);
+  struct fake_answer r = call(c, "POST", WP_JOBS, &body);
+  tmx_buf_free(&list);
+  tmx_buf_free(&body);
+  return r;
+}
+static void accepted(const char *id, const char *names) {
+  struct fake_answer r = submit_named(a, id, names);
+  assert_int_equal(r.status, 201);
+  assert_string_equal(r.state, WV_PENDING);
+}
+static void stays_pending(const char *id, double s) {
+  unsigned begun = w.executed_starts;
+  for (double t = 0; t < s; t += 0.2) {
+    pump_for(0.2);
+    report();
+    assert_string_equal(poll_job(a, id).state, WV_PENDING);
+  }
+  assert_int_equal(w.executed_starts, begun);
+}
+
+/* too_early: no task of a job begins before all that it awaits are done in the log. */
+static void one_after_the_other(void **st) {
+  (void)st;
+  up();
+  accepted("wk-000001", "");
+  accepted("wk-000002", "");
+  accepted("wk-000003", "wk-000001 wk-000002");
+  accepted("wk-000004", "wk-000003");
+  wait_starts(2);
+  ends("wk-000001/0", 1);
+  wait_state("wk-000001", WV_DONE);
+  stays_pending("wk-000003", 2);
+  ends("wk-000002/0", 1);
+  wait_starts(3);
+  stays_pending("wk-000004", 1);
+  ends("wk-000003/0", 1);
+  wait_starts(4);
+  ends("wk-000004/0", 1);
+  wait_state("wk-000004", WV_DONE);
+}
+
+/* A job waits for its own team's limit only once it is released. */
+static void blocked_jobs_hold_no_limit(void **st) {
+  (void)st;
+  up();
+  accepted("wk-000001", "");
+  wait_starts(1);
+  for (int i = 2; i < 8; i++) { /* six times 2 CPUs of a limit of 8 */
+    char id[TMX_ID_MAX];
+    snprintf(id, sizeof id, "wk-00000%d", i);
+    accepted(id, "wk-000001");
+  }
+  assert_int_equal(submit(a, "wk-000009", WV_ARRAY, 3, 2, "t"), 201);
+  wait_starts(4); /* the limit is full with what may run */
+  assert_string_equal(poll_job(a, "wk-000009").state, WV_RUNNING);
+}
+
+/* orphaned: at whichever controller a job is cancelled, all that needs it is cancelled with it. */
+static void cancelled_through_another(void **st) {
+  (void)st;
+  up();
+  accepted("wk-000001", "");
+  accepted("wk-000002", "wk-000001");
+  accepted("wk-000003", "wk-000002");
+  wait_starts(1);
+  assert_string_equal(cancel_job(a, "wk-000001").state, WV_CANCELLED);
+  for (int i = 0; i < 2; i++) {
+    struct tmx_ctl *c = i ? b : a;
+    assert_string_equal(poll_job(c, "wk-000002").state, WV_CANCELLED);
+    assert_string_equal(poll_job(c, "wk-000003").state, WV_CANCELLED);
+    assert_string_equal(cancel_job(c, "wk-000003").state, WV_CANCELLED);
+    assert_int_equal(submit_named(c, "wk-000003", "wk-000002").status, 200);
+  }
+  struct fake_answer late = submit_named(b, "wk-000004", "wk-000003");
+  assert_int_equal(late.status, 201);
+  assert_string_equal(late.state, WV_CANCELLED);
+  assert_string_equal(poll_job(a, "wk-000004").state, WV_CANCELLED);
+}
+
+static bool all_stored(void *arg) {
+  struct tmx_ctl *c = arg;
+  tmx_replica_tidy_unstored(&c->rep);
+  return !c->rep.n_unstored;
+}
+
+/* What follows from a cancellation gets a final state of its own; a fold in between keeps it. */
+static void derived_ends_outlive_folds_and_restarts(void **st) {
+  (void)st;
+  up();
+  accepted("wk-000001", "");
+  accepted("wk-000002", "wk-000001");
+  wait_starts(1);
+  assert_string_equal(cancel_job(a, "wk-000001").state, WV_CANCELLED);
+  assert_true(pump(all_stored, a));
+  const struct fake_entry *e = fake_get(TMX_K_JOB "wk-000002");
+  assert_non_null(e);
+  restart();
+  assert_true(tmx_job_find(&a->rep, "wk-000002")->stored);
+  assert_string_equal(poll_job(a, "wk-000002").state, WV_CANCELLED);
+}
+
+/* A chain that is half done is folded, and the controller restarted: what is done counts, what is
+ * not done blocks, and nothing starts twice. */
+static void folded_with_chains_half_done(void **st) {
+  (void)st;
+  up();
+  accepted("wk-000001", "");
+  accepted("wk-000002", "wk-000001");
+  accepted("wk-000003", "wk-000002");
+  accepted("wk-000004", "wk-000003 wk-000001");
+  wait_starts(1);
+  ends("wk-000001/0", 1);
+  wait_starts(2);
+  tmx_fold_above(a->fold, 0);
+  for (int i = 0; i < 600 && !a->rep.fold_mark; i++) pump_for(0.02);
+  assert_true(a->rep.fold_mark > 0);
+  tmx_fold_above(a->fold, 1000);
+  pump_for(2);
+  double released = tmx_job_find(&a->rep, "wk-000002")->released;
+  restart();
+  assert_true(tmx_job_find(&a->rep, "wk-000002")->released == released);
+  for (int i = 0; i < 10; i++) report();
+  stays_pending("wk-000003", 2);
+  stays_pending("wk-000004", 1);
+  ends("wk-000002/0", 1);
+  wait_starts(3);
+  ends("wk-000003/0", 1);
+  wait_starts(4);
+}
+
+/* The leader ends after the last end is in the log and before the next job is placed. */
+static void leader_ends_between_release_and_placement(void **st) {
+  (void)st;
+  up();
+  accepted("wk-000001", "");
+  accepted("wk-000002", "wk-000001");
+  wait_starts(1);
+  state.doors[0].freeze_watch = true; /* it will not see its own commit */
+  ends("wk-000001/0", 1);
+  for (int i = 0; i < 200 && !fake_logged("e wk-000001/0 1 d"); i++) pump_for(0.02);
+  assert_true(fake_logged("e wk-000001/0 1 d"));
+  assert_int_equal(w.executed_starts, 1);
+  controller_end(a);
+  state.doors[0].freeze_watch = false;
+  a = controller(0, 1);
+  assert_true(pump(typed, a));
+  for (int i = 0; i < 40 && w.executed_starts < 2; i++) {
+    report();
+    worker_do(&w);
+    pump_for(0.2);
+  }
+  assert_int_equal(w.executed_starts, 2);
+}
+
+/* The cancellation is confirmed, and the state is out from then on: the jobs after it are cancelled
+ * for every controller that knows of it, and for one that starts later. */
+static void cancelled_as_an_outage_begins(void **st) {
+  (void)st;
+  up();
+  accepted("wk-000001", "");
+  accepted("wk-000002", "wk-000001");
+  wait_starts(1);
+  assert_string_equal(cancel_job(a, "wk-000001").state, WV_CANCELLED);
+  pump_for(0.05);
+  state.doors[0].refuse = true;
+  assert_string_equal(poll_job(a, "wk-000002").state, WV_CANCELLED);
+  pump_for(3);
+  state.doors[0].refuse = false;
+  restart();
+  assert_string_equal(poll_job(a, "wk-000002").state, WV_CANCELLED);
+}
+
+/* The answer to a cancellation and the last end meet: whoever wins, the job after it follows. */
+static void cancellation_at_the_end_of_the_job_before(void **st) {
+  (void)st;
+  up();
+  accepted("wk-000001", "");
+  accepted("wk-000002", "wk-000001");
+  wait_starts(1);
+  strcpy(state.doors[0].lose_key, TMX_K_JOB "wk-000001");
+  state.doors[0].lose_next_txn = true;
+  ends("wk-000001/0", 1);
+  for (int i = 0; i < 200 && state.doors[0].lose_next_txn; i++) pump_for(0.005);
+  struct fake_answer c = cancel_job(a, "wk-000001");
+  for (int i = 0; i < 20 && c.status != 200; i++) c = cancel_job(a, "wk-000001");
+  assert_string_equal(c.state, WV_DONE);
+  wait_starts(2);
+  ends("wk-000002/0", 1);
+  wait_state("wk-000002", WV_DONE);
+}
+
+/* A late copy of a report names an end of the awaited task's earlier attempt: it releases nothing.
+ */
+static void late_report_releases_nothing(void **st) {
+  (void)st;
+  up();
+  accepted("wk-000001", "");
+  accepted("wk-000002", "wk-000001");
+  wait_starts(1);
+  ends("wk-000001/0", 7); /* an attempt that was never made */
+  stays_pending("wk-000002", 2);
+}
+
+/* Accepted a moment ago at another controller, whose commit has not been seen here. */
+static void named_before_it_is_seen(void **st) {
+  (void)st;
+  up();
+  state.doors[0].freeze_watch = true;
+  assert_int_equal(submit(b, "wk-000001", WV_ARRAY, 1, 2, "t"), 201);
+  assert_int_equal(submit_named(a, "wk-000002", "wk-000001").status, 503); /* never a 422 */
+  state.doors[0].freeze_watch = false;
+  fake_free_watches();
+  assert_int_equal(submit_named(a, "wk-000002", "wk-000001").status, 201);
+  assert_int_equal(submit_named(a, "wk-000003", "wk-000777").status, 422);
+  state.doors[0].refuse = true;
+  int status = submit_named(a, "wk-000004", "wk-000777").status;
+  assert_int_equal(status, 503); /* it cannot be told now */
+}
+
+static int submit_list(const struct tmx_buf *list) {
+  struct tmx_buf body = {0};
+  submission_awaiting(&body, "wk-000009", WV_ARRAY, 1, 2, "t", list);
+  int status = call(a, "POST", WP_JOBS, &body).status;
+  tmx_buf_free(&body);
+  return status;
+}
+
+static void malformed_lists(void **st) {
+  (void)st;
+  up();
+  struct tmx_buf list = {0};
+  accepted("wk-000001", "");
+  assert_int_equal(submit(a, "wk-000002", WV_SERVICE, 1, 2, "t"), 201);
+  tmx_w_str(&list, "wk-000001");
+  assert_int_equal(submit_list(&list), 400);
+  list.n = 0;
+  tmx_w_list(&list, 1);
+  tmx_w_u64(&list, 1);
+  assert_int_equal(submit_list(&list), 400);
+  assert_int_equal(submit_named(a, "wk-000009", "job-1").status, 400);
+  assert_int_equal(submit_named(a, "wk-000009", "wk-000009").status, 422);
+  assert_int_equal(submit_named(a, "wk-000009", "wk-000777 wk-000001").status, 422);
+  assert_int_equal(submit_named(a, "wk-000009", "wk-000002").status,
+                   422); /* a service never ends */
+  list.n = 0;
+  tmx_w_null(&list);
+  assert_int_equal(submit_list(&list), 201);
+  accepted("wk-000003", "wk-000001 wk-000001 wk-000001");
+  assert_int_equal(tmx_job_find(&a->rep, "wk-000003")->deps.named.n, 1);
+  /* what is known is answered before anything is judged */
+  assert_int_equal(submit_named(a, "wk-000003", "job-1").status, 200);
+  assert_int_equal(submit_named(a, "wk-000003", "wk-000777").status, 200);
+  tmx_buf_free(&list);
+}
+
+static struct tmx_buf many_names(int n) {
+  struct tmx_buf list = {0};
+  char id[TMX_ID_MAX];
+  tmx_w_list(&list, (size_t)n);
+  for (int i = 0; i < n; i++) {
+    snprintf(id, sizeof id, "wk-%06d", 1000 + i);
+    tmx_w_str(&list, id);
+  }
+  return list;
+}
+
+/* More names than a value holds are split over the keys of one transaction; more than a
+ * transaction holds are refused. Neither is ever half there, and a fold splits them as well. */
+static void names_over_many_values(void **st) {
+  (void)st;
+  enum { SOME = 300, FAR_TOO_MANY = 900 };
+  up();
+  a->set.value_kb = 1;
+  a->set.txn_ops = 4;
+  state.value_max = 1024;
+  state.txn_max = 4;
+  for (int i = 0; i < FAR_TOO_MANY; i++) { /* as another controller would have accepted them */
+    char id[TMX_ID_MAX], key[TMX_KEY_MAX];
+    struct tmx_spec s = {.tasks = 1, .cpus = 2, .mem = 1, .deadline_s = -1};
+    struct tmx_buf job = {0};
+    strcpy(s.team, "t");
+    snprintf(id, sizeof id, "wk-%06d", 1000 + i);
+    snprintf(key, sizeof key, TMX_K_JOB "%s", id);
+    tmx_job_encode(&job, id, &s, 5, TMX_OPEN);
+    fake_put(key, &job);
+    tmx_buf_free(&job);
+  }
+  pump_for(0.5);
+  struct tmx_buf list = many_names(FAR_TOO_MANY);
+  assert_int_equal(submit_list(&list), 422);
+  tmx_buf_free(&list);
+  list = many_names(SOME);
+  assert_int_equal(submit_list(&list), 201);
+  tmx_buf_free(&list);
+  const struct tmx_job *j = tmx_job_find(&a->rep, "wk-000009");
+  assert_int_equal(j->deps.n_unfinished, SOME);
+  tmx_fold_above(a->fold, 0);
+  for (int i = 0; i < 3000 && !a->rep.fold_mark; i++) pump_for(0.02);
+  assert_true(a->rep.fold_mark > 0);
+  tmx_fold_above(a->fold, 100000);
+  restart();
+  j = tmx_job_find(&a->rep, "wk-000009");
+  assert_int_equal(j->deps.n_unfinished, SOME);
+  assert_int_equal(state.too_large, 0);
+}
+
+/* The limits fall without notice while work is under way. Everything keeps within the smaller ones
+ * from the start, so nothing is refused, and all comes to its end. */
+static void limits_lowered_under_way(void **st) {
+  (void)st;
+  a->set.value_kb = 1;
+  a->set.txn_ops = 4;
+  up();
+  char id[TMX_ID_MAX], before[TMX_ID_MAX] = "";
+  for (int i = 0; i < 12; i++) {
+    snprintf(id, sizeof id, "wk-%06d", i);
+    accepted(id, before);
+    if (i % 3 != 2) strcpy(before, id);
+    if (i == 5) {
+      state.value_max = 1024;
+      state.txn_max = 4;
+    }
+  }
+  for (int i = 0; i < 400 && tmx_job_find(&a->rep, id)->fin != TMX_FIN_DONE; i++) {
+    all_end();
+    pump_for(0.2);
+  }
+  for (int i = 0; i < 12; i++) {
+    snprintf(id, sizeof id, "wk-%06d", i);
+    wait_state(id, WV_DONE);
+  }
+  assert_int_equal(state.too_large, 0);
+}
+
+int main(void) {
+  const struct CMUnitTest t[] = {
+      cmocka_unit_test_setup_teardown(one_after_the_other, setup, teardown),
+      cmocka_unit_test_setup_teardown(blocked_jobs_hold_no_limit, setup, teardown),
+      cmocka_unit_test_setup_teardown(cancelled_through_another, setup_two, teardown),
+      cmocka_unit_test_setup_teardown(derived_ends_outlive_folds_and_restarts, setup, teardown),
+      cmocka_unit_test_setup_teardown(folded_with_chains_half_done, setup, teardown),
+      cmocka_unit_test_setup_teardown(leader_ends_between_release_and_placement, setup, teardown),
+      cmocka_unit_test_setup_teardown(cancelled_as_an_outage_begins, setup, teardown),
+      cmocka_unit_test_setup_teardown(cancellation_at_the_end_of_the_job_before, setup, teardown),
+      cmocka_unit_test_setup_teardown(late_report_releases_nothing, setup, teardown),
+      cmocka_unit_test_setup_teardown(named_before_it_is_seen, setup_two, teardown),
+      cmocka_unit_test_setup_teardown(malformed_lists, setup, teardown),
+      cmocka_unit_test_setup_teardown(names_over_many_values, setup, teardown),
+      cmocka_unit_test_setup_teardown(limits_lowered_under_way, setup, teardown),
+  };
+  setenv("LOG_LEVEL", "error", 0);
+  tmx_log_init("test");
+  if (getenv("TMX_TEST")) cmocka_set_test_filter(getenv("TMX_TEST")); /* one of them, by hand */
+  return cmocka_run_group_tests(t, NULL, NULL);
+}
