--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -30,6 +30,7 @@
 #define TMX_USED_S 3.0          /* puts of all are looked at over this time ... */
 #define TMX_RICH 0.35           /* ... and below this share of the rate nobody keeps to turns */
 #define TMX_POOL_KEPT 0.4       /* of the service's burst that is left to the others then */
+#define TMX_POOL_SUBMIT 0.5     /* ... while it holds this share a submission may go out by itself */
 #define TMX_TURN_PUTS 2.4       /* puts of a usual batch: sets the length of a turn */
 #define TMX_TURN_BEGIN                                                                            \
   0.45                        /* of a turn: a round begins within this, the rest is for planning, \
@@ -72,6 +73,7 @@
 /* --- rounds (s) --- */
 #define TMX_LINE_MAX 256         /* bytes; a line of the log: four names at most */
 #define TMX_LINE_TYPICAL 26      /* bytes; a placement: bounds what is planned at once */
+#define TMX_ITEM_TYPICAL 13      /* ... where operations of one job share a line */
 #define TMX_ROUND_SPACING_S 0.03 /* least time between two rounds of one controller */
 #define TMX_ROUND_PUTS 2.05      /* puts of the smallest batch: one value and head */
 #define TMX_FINISHED_MAX 64      /* jobs that end in one batch */
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -314,7 +314,8 @@
   in->max_visits =
       (size_t)fmax(fmin(c->set.core_share * TMX_PLAN_BUSY_S / TMX_PLAN_VISIT_S, TMX_PLAN_VISITS),
                    TMX_PLAN_VISITS_LEAST);
-  in->max_ops = (size_t)(fmin(room, TMX_TXN_BYTES) / TMX_LINE_TYPICAL);
+  in->max_ops =
+      (size_t)(fmin(room, TMX_TXN_BYTES) / (r->pipelines ? TMX_ITEM_TYPICAL : TMX_LINE_TYPICAL));
   for (size_t i = 0; i < p->n_ends; i++) {
     struct tmx_task *t = task_of(r, &p->ends[i]);
     t->ending = true;
@@ -359,12 +360,24 @@
   struct tmx_txn t;
   struct tmx_buf list, jobs, v;
   size_t lines, n_jobs;
+  bool grouped;                 /* operations of one job share lines */
+  char group[TMX_LINE_MAX];     /* the line that grows; empty: none */
+  struct tmx_op group_op;       /* ... its first operation */
   size_t value, value_max, txn; /* of this value, at most, and of all before it; as JSON */
   int spare;                    /* puts that may still be used, head aside */
 };
 
+static void end_group(struct batch *b) {
+  if (!b->group[0]) return;
+  if (tmx_log_on(TMX_DEBUG)) tmx_log(TMX_DEBUG, "op: %s", b->group);
+  tmx_w_str(&b->list, b->group);
+  b->lines++;
+  b->group[0] = 0;
+}
+
 static void flush(struct batch *b) {
   char key[TMX_KEY_MAX + 1];
+  end_group(b);
   if (!b->lines && !b->n_jobs) return;
   b->v.n = 0;
   tmx_lines_encode(&b->v, &b->jobs, b->n_jobs, &b->list, b->lines);
@@ -388,6 +401,7 @@
 
 static bool add_line(struct batch *b, const char *line, int more_puts) {
   size_t len = tmx_json_text(line, strlen(line)) + 1;
+  end_group(b);
   if (!fits(b, len, more_puts)) return false;
   b->value += len;
   if (tmx_log_on(TMX_DEBUG)) tmx_log(TMX_DEBUG, "op: %s", line);
@@ -396,6 +410,36 @@
   return true;
 }
 
+/* The operation joins the line before it; false: it begins another. */
+static bool join_group(struct batch *b, const struct tmx_op *o, const char *item, int more_puts) {
+  size_t len = tmx_json_text(item, strlen(item)), used = strlen(b->group);
+  if (!used || !tmx_op_same_group(&b->group_op, o)) return false;
+  if (used + strlen(item) >= sizeof b->group || b->value + len > b->value_max) return false;
+  if (!fits(b, len, more_puts)) return false;
+  strcpy(b->group + used, item);
+  b->value += len;
+  return true;
+}
+
+static bool add_op(struct batch *b, const struct tmx_op *o, int more_puts) {
+  char line[TMX_LINE_MAX], item[TMX_LINE_MAX];
+  if (!b->grouped || !tmx_op_groups(o)) {
+    tmx_op_print(line, sizeof line, o);
+    return add_line(b, line, more_puts);
+  }
+  tmx_group_item_print(item, sizeof item, o);
+  if (join_group(b, o, item, more_puts)) return true;
+  end_group(b);
+  int head = tmx_group_head_print(line, sizeof line, o);
+  snprintf(line + head, sizeof line - (size_t)head, "%s", item);
+  size_t len = tmx_json_text(line, strlen(line)) + 1;
+  if (!fits(b, len, more_puts)) return false;
+  strcpy(b->group, line);
+  b->group_op = *o;
+  b->value += len;
+  return true;
+}
+
 /* ------------------------------------------------------------ submissions */
 
 static void free_arrival(struct arrival *a) {
@@ -649,12 +693,21 @@
   }
 }
 
+static int by_group(const void *a, const void *b) {
+  const struct tmx_op *x = a, *y = b;
+  int order = strcmp(x->job, y->job);
+  if (!order) order = (x->attempt > y->attempt) - (x->attempt < y->attempt);
+  if (!order) order = x->how - y->how;
+  return order ? order : (x->task > y->task) - (x->task < y->task);
+}
+
 /* The log's order in a batch: ends, machines, placements and stops. */
 static void commit(struct tmx_rounds *p) {
   struct tmx_ctl *c = p->c;
   struct tmx_replica *r = &c->rep;
   struct tmx_check check;
-  struct batch b = {.p = p, .value_max = tmx_value_room(&c->set)};
+  /* the version in production does not read lines of several operations: see docs/design.md */
+  struct batch b = {.p = p, .value_max = tmx_value_room(&c->set), .grouped = r->pipelines};
   char line[TMX_LINE_MAX];
   double budget = tmx_link_budget(c->link);
   struct tmx_job *finished[TMX_FINISHED_MAX];
@@ -668,6 +721,7 @@
   tmx_txn_if(&b.t, TMX_K_HEAD, r->head);
   tmx_check_begin(&check, r);
   add_arrivals(p, &b);
+  if (b.grouped) qsort(p->ends, p->n_ends, sizeof *p->ends, by_group);
   for (size_t i = 0; i < p->n_ends; i++) {
     const struct tmx_op *o = &p->ends[i];
     struct tmx_task *t = task_of(r, o);
@@ -675,7 +729,6 @@
     /* the last task's end and the job's final state are one transaction */
     bool last = o->how == TMX_END_DONE && !t->job->fin &&
                 t->job->n_done + t->job->n_ending + 1 == t->job->spec.tasks;
-    tmx_op_print(line, sizeof line, o);
     /* A job's last end needs a put more. When there is none for it the others go on without it, and
      * the next round waits for enough: or one such end would hold the whole log up for good. */
     if (last && (n_fin == TMX_FINISHED_MAX || b.spare < 2)) {
@@ -683,7 +736,7 @@
       later = true;
       continue;
     }
-    if (!add_line(&b, line, last)) {
+    if (!add_op(&b, o, last)) {
       more = true;
       break;
     }
@@ -715,8 +768,7 @@
     const struct tmx_op *o = &p->plan.ops[i];
     /* room whose end did not fit into the batch is not free in the log: the check sees that */
     if (!tmx_check_op(&check, o)) continue;
-    tmx_op_print(line, sizeof line, o);
-    more = !add_line(&b, line, 0);
+    more = !add_op(&b, o, 0);
     placed += !more;
   }
   flush(&b);
--- a/src/state/depend.c
+++ b/src/state/depend.c
@@ -126,6 +126,9 @@
   j->released = j->submitted;
   for (uint32_t i = 0; i < j->deps.named.n; i++)
     j->released = fmax(j->released, j->deps.needs[i]->ended);
+  if (tmx_log_on(TMX_DEBUG))
+    tmx_log(TMX_DEBUG, "job: %s %s released, priority %d, due in %.0f s", j->id, j->spec.class,
+            j->urgency.priority, j->urgency.due_at - j->released);
   tmx_replica_job_changed(r, j);
 }
 
--- a/src/state/lines.c
+++ b/src/state/lines.c
@@ -315,6 +315,62 @@
   return o->op == TMX_OP_PLACE || o->op == TMX_OP_STOP || o->op == TMX_OP_END;
 }
 
+/* ------------------------------------------------------------ groups of operations */
+
+bool tmx_op_groups(const struct tmx_op *o) { return o->op != TMX_OP_STOP; }
+
+bool tmx_op_same_group(const struct tmx_op *a, const struct tmx_op *b) {
+  return a->op == b->op && a->attempt == b->attempt && !strcmp(a->job, b->job) &&
+         (a->op == TMX_OP_PLACE || a->how == b->how);
+}
+
+int tmx_group_head_print(char *out, size_t cap, const struct tmx_op *o) {
+  if (o->op == TMX_OP_PLACE)
+    return snprintf(out, cap, "%c %s %u", TMX_GROUP_PLACE, o->job, o->attempt);
+  return snprintf(out, cap, "%c %s %u %c", TMX_GROUP_END, o->job, o->attempt, o->how);
+}
+
+int tmx_group_item_print(char *out, size_t cap, const struct tmx_op *o) {
+  if (o->op == TMX_OP_PLACE) return snprintf(out, cap, " %u:%s", o->task, o->machine);
+  return snprintf(out, cap, " %u", o->task);
+}
+
+/* An item of a group: a task, and for a placement its machine. */
+static bool read_item(char *item, struct tmx_op *o) {
+  char *machine = strchr(item, ':');
+  if ((o->op == TMX_OP_PLACE) != (machine != NULL)) return false;
+  if (machine) {
+    *machine++ = 0;
+    if (!*machine || strlen(machine) >= sizeof o->machine) return false;
+    strcpy(o->machine, machine);
+  }
+  return tmx_line_u32(item, &o->task);
+}
+
+static void group_each(const char *line, tmx_each_op f, void *arg) {
+  char copy[TMX_LINE_MAX], *field[TMX_LINE_MAX / 2];
+  struct tmx_op o = {.op = line[0] == TMX_GROUP_PLACE ? TMX_OP_PLACE : TMX_OP_END};
+  size_t first = o.op == TMX_OP_PLACE ? 3 : 4;
+  if (strlen(line) >= sizeof copy) return;
+  strcpy(copy, line);
+  size_t n = tmx_line_fields(copy, field, sizeof field / sizeof *field);
+  if (n < first || field[0][1] || strlen(field[1]) >= sizeof o.job ||
+      !tmx_line_u32(field[2], &o.attempt))
+    return;
+  strcpy(o.job, field[1]);
+  if (o.op == TMX_OP_END) o.how = field[3][0];
+  for (size_t i = first; i < n; i++)
+    if (read_item(field[i], &o)) f(arg, &o);
+}
+
+void tmx_ops_each(const char *line, tmx_each_op f, void *arg) {
+  struct tmx_op o;
+  if (line[0] == TMX_GROUP_PLACE || line[0] == TMX_GROUP_END)
+    group_each(line, f, arg);
+  else if (tmx_op_parse(line, &o))
+    f(arg, &o);
+}
+
 int tmx_machine_print(char *out, size_t cap, const struct tmx_replica *r,
                       const struct tmx_machine *m) {
   return snprintf(out, cap, "m %s %s %s %s %d %d", m->id, m->addr[0] ? m->addr : "-", m->type,
--- a/src/state/link.c
+++ b/src/state/link.c
@@ -415,14 +415,19 @@
   refill(k);
   return k->tokens > fmax(put_rate(k) * TMX_PUT_BURST_S, TMX_PUT_BURST_LEAST) * TMX_FOLD_SPARE;
 }
-/* Takes a put for a submission; false: there is none for it now. */
+/* Takes a put for a submission; false: there is none for it now. What the others leave unused of
+ * the service's rate serves as well: a submission that waits for a batch waits for a whole round of
+ * turns. */
 bool tmx_link_submit(struct tmx_link *k) {
   refill(k);
-  if (k->submits < 1 && tmx_link_budget(k) < 1) return false;
-  if (k->submits >= 1) {
+  bool own = tmx_link_budget(k) >= 1;
+  bool unused = k->pool >= k->set->write_rps * TMX_POOL_SUBMIT;
+  if (k->submits < 1 && !own && !unused) return false;
+  if (k->submits >= 1)
     k->submits -= 1;
-    k->tokens += 1; /* which the commit takes */
-  }
+  else if (own)
+    return true;
+  k->tokens += 1; /* which the commit takes */
   return true;
 }
 
--- a/src/state/replica.c
+++ b/src/state/replica.c
@@ -556,12 +556,13 @@
   }
 }
 
+static void apply_each(void *arg, const struct tmx_op *o) { apply_op(arg, o); }
+
 static void apply_lines(struct tmx_replica *r, const cbor_item_t *v) {
   const cbor_item_t *ops = tmx_r_get(v, "ops"), *jobs = tmx_r_get(v, "jobs");
   for (size_t i = 0; i < tmx_r_len(jobs); i++) apply_job(r, tmx_r_at(jobs, i), 0);
   for (size_t i = 0; i < tmx_r_len(ops); i++) {
     char s[TMX_LINE_MAX];
-    struct tmx_op o;
     if (!tmx_r_str(tmx_r_at(ops, i), s, sizeof s)) continue;
     if (s[0] == TMX_LINE_MACHINE || s[0] == TMX_LINE_DRAIN || s[0] == TMX_LINE_GONE)
       apply_machine(r, s);
@@ -569,8 +570,8 @@
       apply_run(r, s);
     else if (s[0] == TMX_LINE_AWAITS)
       apply_awaits(r, s);
-    else if (tmx_op_parse(s, &o))
-      apply_op(r, &o);
+    else
+      tmx_ops_each(s, apply_each, r);
   }
 }
 
--- a/src/state/replica.h
+++ b/src/state/replica.h
@@ -273,6 +273,8 @@
 #define TMX_OP_PLACE 'p'
 #define TMX_OP_STOP 's'
 #define TMX_OP_END 'e'
+#define TMX_GROUP_PLACE 'P' /* lines of several such operations */
+#define TMX_GROUP_END 'E'
 /* lines that speak of machines: registered, to be returned or not, gone by proof */
 #define TMX_LINE_MACHINE 'm'
 #define TMX_LINE_DRAIN 'd'
@@ -294,6 +296,15 @@
   uint32_t cap;             /* place, not in the log: tasks of the job that may be on the machine */
 };
 int tmx_op_print(char *out, size_t cap, const struct tmx_op *o);
+/* Lines that tell of several tasks of one job: placements of one attempt, ends of one kind. A line
+ * begins with the head of its first operation, and grows by one item an operation. */
+bool tmx_op_groups(const struct tmx_op *o); /* is it of a kind that may be told so */
+bool tmx_op_same_group(const struct tmx_op *a, const struct tmx_op *b);
+int tmx_group_head_print(char *out, size_t cap, const struct tmx_op *o);
+int tmx_group_item_print(char *out, size_t cap, const struct tmx_op *o);
+/* Calls f for each operation that the line tells of. */
+typedef void (*tmx_each_op)(void *arg, const struct tmx_op *o);
+void tmx_ops_each(const char *line, tmx_each_op f, void *arg);
 bool tmx_op_parse(const char *s, struct tmx_op *o);
 size_t tmx_line_fields(char *line, char **f, size_t max); /* splits it in place; how many */
 bool tmx_line_u32(const char *s, uint32_t *v);
--- a/src/user/user.c
+++ b/src/user/user.c
@@ -122,6 +122,7 @@
   a->req = q;
   a->kind = kind;
   a->otherwise = otherwise;
+  a->since = tmx_now();
   a->submission = submission;
   a->until = tmx_now() + within;
   snprintf(a->id, sizeof a->id, "%s", id);
--- a/tests/fake.c
+++ b/tests/fake.c
@@ -406,31 +406,42 @@
   }
 }
 
-bool fake_logged(const char *line) {
-  char s[128];
-  bool found = false;
-  for (size_t i = 0; i < state.n_e && !found; i++) {
+/* Calls f for every operation that stands in the log, those that share a line too. */
+static void each_logged(tmx_each_op f, void *arg) {
+  char s[TMX_LINE_MAX];
+  for (size_t i = 0; i < state.n_e; i++) {
     if (strncmp(state.e[i].key, TMX_K_BATCH, strlen(TMX_K_BATCH))) continue;
     cbor_item_t *m = tmx_cbor_parse(state.e[i].value, state.e[i].len);
     const cbor_item_t *ops = tmx_r_get(m, "ops");
     for (size_t k = 0; k < tmx_r_len(ops); k++)
-      found |= tmx_r_str(tmx_r_at(ops, k), s, sizeof s) && !strcmp(s, line);
+      if (tmx_r_str(tmx_r_at(ops, k), s, sizeof s)) tmx_ops_each(s, f, arg);
     tmx_cbor_free(m);
   }
-  return found;
 }
 
+struct wanted {
+  const char *line;
+  bool found;
+};
+static void look_for(void *arg, const struct tmx_op *o) {
+  struct wanted *w = arg;
+  char line[TMX_LINE_MAX];
+  tmx_op_print(line, sizeof line, o);
+  w->found |= !strcmp(line, w->line);
+}
+bool fake_logged(const char *line) {
+  struct wanted w = {.line = line};
+  each_logged(look_for, &w);
+  return w.found;
+}
+
+static void count_placed(void *arg, const struct tmx_op *o) {
+  unsigned *n = arg;
+  *n += o->op == TMX_OP_PLACE ? 1 : o->op == TMX_OP_END ? -1 : 0;
+}
 unsigned fake_placed(void) {
   unsigned n = 0;
-  char s[128];
-  for (size_t i = 0; i < state.n_e; i++) {
-    if (strncmp(state.e[i].key, TMX_K_BATCH, strlen(TMX_K_BATCH))) continue;
-    cbor_item_t *m = tmx_cbor_parse(state.e[i].value, state.e[i].len);
-    const cbor_item_t *ops = tmx_r_get(m, "ops");
-    for (size_t k = 0; k < tmx_r_len(ops); k++)
-      if (tmx_r_str(tmx_r_at(ops, k), s, sizeof s)) n += s[0] == 'p' ? 1 : s[0] == 'e' ? -1 : 0;
-    tmx_cbor_free(m);
-  }
+  each_logged(count_placed, &n);
   return n;
 }
 
--- a/tests/test_depend.c
+++ b/tests/test_depend.c
@@ -343,6 +343,37 @@
   tmx_buf_free(&b);
 }
 
+/* Operations of one job that share a line mean what they mean each in a line of its own. */
+static void count_op(void *arg, const struct tmx_op *o) {
+  char line[TMX_LINE_MAX], *all = arg;
+  tmx_op_print(line, sizeof line, o);
+  snprintf(all + strlen(all), 512 - strlen(all), "%s;", line);
+}
+static void lines_of_several_operations(void **st) {
+  (void)st;
+  char all[512] = "";
+  tmx_ops_each("P wk-1 2 0:n-1 7:n-2", count_op, all);
+  tmx_ops_each("E wk-1 2 d 0 3", count_op, all);
+  tmx_ops_each("e wk-1/4 1 l", count_op, all);
+  assert_string_equal(all, "p wk-1/0 2 n-1;p wk-1/7 2 n-2;e wk-1/0 2 d;e wk-1/3 2 d;e wk-1/4 1 l;");
+  all[0] = 0; /* what is malformed tells of nothing */
+  static const char *const malformed[] = {
+      "P wk-1 2",     "P wk-1 2 0",  "P wk-1 x 0:n-1", "PP wk-1 2 0:n-1",
+      "E wk-1 2 d x", "P wk-1 2 0:", "E wk-1 2 d 1:n"};
+  for (size_t i = 0; i < sizeof malformed / sizeof *malformed; i++)
+    tmx_ops_each(malformed[i], count_op, all);
+  assert_string_equal(all, "");
+  struct tmx_op o = {.op = TMX_OP_PLACE, .task = 7, .attempt = 2}, other;
+  strcpy(o.job, "wk-1");
+  strcpy(o.machine, "n-2");
+  int n = tmx_group_head_print(all, sizeof all, &o);
+  tmx_group_item_print(all + n, sizeof all - (size_t)n, &o);
+  assert_string_equal(all, "P wk-1 2 7:n-2");
+  other = o;
+  other.attempt = 3;
+  assert_false(tmx_op_same_group(&o, &other));
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test_setup_teardown(blocked_until_all_are_done, setup, teardown),
@@ -353,6 +384,7 @@
       cmocka_unit_test_setup_teardown(names_in_lines, setup, teardown),
       cmocka_unit_test_setup_teardown(urgency_of_the_last_job, setup, teardown),
       cmocka_unit_test_setup_teardown(long_chains_and_wide_fans, setup, teardown),
+      cmocka_unit_test_setup_teardown(lines_of_several_operations, setup, teardown),
       cmocka_unit_test_setup_teardown(form_without_dependencies, setup, teardown),
       cmocka_unit_test_setup_teardown(final_state_fits_the_smallest_value, setup, teardown),
   };
