--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -30,7 +30,7 @@
 #define TMX_USED_S 3.0          /* puts of all are looked at over this time ... */
 #define TMX_RICH 0.35           /* ... and below this share of the rate nobody keeps to turns */
 #define TMX_POOL_KEPT 0.4       /* of the service's burst that is left to the others then */
-#define TMX_POOL_SUBMIT 0.5     /* ... while it holds this share a submission may go out by itself */
+#define TMX_POOL_UNUSED 0.5     /* ... what it holds above this share counts as unused by all */
 #define TMX_TURN_PUTS 2.4       /* puts of a usual batch: sets the length of a turn */
 #define TMX_TURN_BEGIN                                                                            \
   0.45                        /* of a turn: a round begins within this, the rest is for planning, \
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -701,6 +701,23 @@
   return order ? order : (x->task > y->task) - (x->task < y->task);
 }
 
+/* Jobs whose last task's end is among those at hand. Their final states need a put each, and users
+ * and the jobs after them wait for these. */
+static int last_ends(const struct tmx_rounds *p) {
+  const struct tmx_replica *r = &p->c->rep;
+  int n = 0;
+  for (size_t i = 0; i < p->n_ends; i++) {
+    struct tmx_task *t = task_of(r, &p->ends[i]);
+    if (!t || p->ends[i].how != TMX_END_DONE || t->job->fin) continue;
+    if (t->job->n_done + ++t->job->n_ending == t->job->spec.tasks) n++;
+  }
+  for (size_t i = 0; i < p->n_ends; i++) {
+    struct tmx_task *t = task_of(r, &p->ends[i]);
+    if (t) t->job->n_ending = 0;
+  }
+  return n;
+}
+
 /* The log's order in a batch: ends, machines, placements and stops. */
 static void commit(struct tmx_rounds *p) {
   struct tmx_ctl *c = p->c;
@@ -718,6 +735,8 @@
   b.spare = c->set.txn_ops - 1;
   if (budget < b.spare + 1) b.spare = (int)floor(budget) - 1;
   if (b.spare < 1) b.spare = 1; /* begin() saw to it that this much may be sent */
+  int room_for_ends = (int)fmin(c->set.txn_ops - 1 - b.spare, last_ends(p));
+  if (room_for_ends > 0) b.spare += tmx_link_extra(c->link, room_for_ends);
   tmx_txn_if(&b.t, TMX_K_HEAD, r->head);
   tmx_check_begin(&check, r);
   add_arrivals(p, &b);
@@ -734,6 +753,7 @@
     if (last && (n_fin == TMX_FINISHED_MAX || b.spare < 2)) {
       p->puts = TMX_ROUND_PUTS + 1;
       later = true;
+      if (tmx_log_on(TMX_DEBUG)) tmx_log(TMX_DEBUG, "job: %s is done, and waits for a put", o->job);
       continue;
     }
     if (!add_op(&b, o, last)) {
--- a/src/state/link.c
+++ b/src/state/link.c
@@ -415,22 +415,29 @@
   refill(k);
   return k->tokens > fmax(put_rate(k) * TMX_PUT_BURST_S, TMX_PUT_BURST_LEAST) * TMX_FOLD_SPARE;
 }
+/* Puts of the service's rate that all leave unused: this controller's part of them. */
+static double unused_puts(struct tmx_link *k) {
+  refill(k);
+  return fmax(0, (k->pool - k->set->write_rps * TMX_POOL_UNUSED) / 2);
+}
+
 /* Takes a put for a submission; false: there is none for it now. What the others leave unused of
  * the service's rate serves as well: a submission that waits for a batch waits for a whole round of
  * turns. */
 bool tmx_link_submit(struct tmx_link *k) {
-  refill(k);
-  bool own = tmx_link_budget(k) >= 1;
-  bool unused = k->pool >= k->set->write_rps * TMX_POOL_SUBMIT;
-  if (k->submits < 1 && !own && !unused) return false;
-  if (k->submits >= 1)
-    k->submits -= 1;
-  else if (own)
-    return true;
+  if (k->submits < 1 && tmx_link_budget(k) >= 1) return true;
+  if (k->submits < 1 && unused_puts(k) < 1) return false;
+  if (k->submits >= 1) k->submits -= 1;
   k->tokens += 1; /* which the commit takes */
   return true;
 }
 
+int tmx_link_extra(struct tmx_link *k, int wanted) {
+  int extra = (int)fmin(unused_puts(k), wanted);
+  k->tokens += extra; /* which the commit takes */
+  return extra;
+}
+
 static void on_txn(void *arg, int status, const uint8_t *body, size_t len) {
   struct pending_txn *p = arg;
   int res = TMX_TXN_UNKNOWN;
--- a/src/state/link.h
+++ b/src/state/link.h
@@ -44,8 +44,11 @@
 double tmx_link_budget(struct tmx_link *k);                 /* puts that may be sent now */
 double tmx_link_budget_in(struct tmx_link *k, double puts); /* s until so many may be sent */
 bool tmx_link_submit(struct tmx_link *k); /* before the commit of a single submission */
-bool tmx_link_rich(struct tmx_link *k);   /* hardly any of its share is used */
-bool tmx_link_spare(struct tmx_link *k);  /* there is room for housekeeping */
+/* Puts beyond this controller's share, at most `wanted`, as far as all together leave them unused:
+ * for what others wait for. They are taken by the commit that follows. */
+int tmx_link_extra(struct tmx_link *k, int wanted);
+bool tmx_link_rich(struct tmx_link *k);  /* hardly any of its share is used */
+bool tmx_link_spare(struct tmx_link *k); /* there is room for housekeeping */
 /* This controller is in no state to lead: it does not try to. */
 void tmx_link_stand_back(struct tmx_link *k, bool on);
 /* Advice that a peer's process is down: leadership is taken from it at once. */
--- a/tests/fake.c
+++ b/tests/fake.c
@@ -406,15 +406,15 @@
   }
 }
 
-/* Calls f for every operation that stands in the log, those that share a line too. */
-static void each_logged(tmx_each_op f, void *arg) {
+/* Calls f for every line that stands in the log. */
+static void each_line(void (*f)(void *arg, const char *line), void *arg) {
   char s[TMX_LINE_MAX];
   for (size_t i = 0; i < state.n_e; i++) {
     if (strncmp(state.e[i].key, TMX_K_BATCH, strlen(TMX_K_BATCH))) continue;
     cbor_item_t *m = tmx_cbor_parse(state.e[i].value, state.e[i].len);
     const cbor_item_t *ops = tmx_r_get(m, "ops");
     for (size_t k = 0; k < tmx_r_len(ops); k++)
-      if (tmx_r_str(tmx_r_at(ops, k), s, sizeof s)) tmx_ops_each(s, f, arg);
+      if (tmx_r_str(tmx_r_at(ops, k), s, sizeof s)) f(arg, s);
     tmx_cbor_free(m);
   }
 }
@@ -429,9 +429,14 @@
   tmx_op_print(line, sizeof line, o);
   w->found |= !strcmp(line, w->line);
 }
+static void look_in(void *arg, const char *line) {
+  struct wanted *w = arg;
+  w->found |= !strcmp(line, w->line);
+  tmx_ops_each(line, look_for, w); /* operations of one job may share a line */
+}
 bool fake_logged(const char *line) {
   struct wanted w = {.line = line};
-  each_logged(look_for, &w);
+  each_line(look_in, &w);
   return w.found;
 }
 
@@ -439,9 +444,10 @@
   unsigned *n = arg;
   *n += o->op == TMX_OP_PLACE ? 1 : o->op == TMX_OP_END ? -1 : 0;
 }
+static void count_in(void *arg, const char *line) { tmx_ops_each(line, count_placed, arg); }
 unsigned fake_placed(void) {
   unsigned n = 0;
-  each_logged(count_placed, &n);
+  each_line(count_in, &n);
   return n;
 }
 
