--- /dev/null
+++ b/tests/test_upgrade.c
@@ -0,0 +1,274 @@
+/* An upgrade while the service runs: data that the version in production left is gone on with, and
+ * until a job awaits others nothing is written that it would not read. */
+#include "fake.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "beat.h"
+#include "net/log.h"
+#include "tmx/wire.h"
+
+static struct tmx_ctl *a;
+static struct fake_worker w;
+
+static bool typed(void *arg) {
+  struct tmx_ctl *c = arg;
+  size_t n;
+  tmx_cloud_types(c->cloud, &n);
+  return n > 0 && tmx_link_member(c->link) && tmx_ctl_fresh(c);
+}
+static int setup(void **st) {
+  (void)st;
+  fake_open();
+  worker_open(&w, "n-000001");
+  a = NULL;
+  return 0;
+}
+static int teardown(void **st) {
+  (void)st;
+  if (a) controller_end(a);
+  tmx_server_free(w.srv);
+  fake_close();
+  return 0;
+}
+static void begin(void) {
+  a = controller(0, 1);
+  assert_true(pump(typed, a));
+}
+static void restart(void) {
+  controller_end(a);
+  begin();
+}
+
+static size_t from_hex(const char *hex, uint8_t *out, size_t cap) {
+  size_t n = 0;
+  unsigned byte;
+  for (; n < cap && sscanf(hex + 2 * n, "%2x", &byte) == 1; n++) out[n] = (uint8_t)byte;
+  return n;
+}
+
+static FILE *data(const char *name) {
+  char path[512];
+  snprintf(path, sizeof path, TMX_TEST_DATA "/%s", name);
+  FILE *f = fopen(path, "r");
+  assert_non_null(f);
+  return f;
+}
+
+/* Puts what production left into the state service, at the versions that it had there. */
+static void load_production_state(void) {
+  static char line[16384], hex[16384];
+  static uint8_t bytes[8192];
+  char key[TMX_KEY_MAX + 1];
+  unsigned long long version;
+  uint64_t last = 0;
+  FILE *f = data("production-state.txt");
+  while (fgets(line, sizeof line, f)) {
+    if (line[0] == '#') continue;
+    assert_int_equal(sscanf(line, "%200s %llu %16000s", key, &version, hex), 3);
+    size_t n = from_hex(hex, bytes, sizeof bytes);
+    struct tmx_buf b = {.p = bytes, .n = n};
+    state.rev = version - 1; /* which the put counts up */
+    fake_put(key, &b);
+    if (version > last) last = version;
+  }
+  fclose(f);
+  state.rev = last;
+}
+
+static void as_production_left_it(const struct tmx_replica *r) {
+  static const struct {
+    const char *id;
+    int fin;
+    uint32_t done, placed;
+  } jobs[] = {
+      {"wk-000001", TMX_OPEN, 1, 2},     {"wk-000002", TMX_OPEN, 0, 1},
+      {"wk-000003", TMX_FIN_DONE, 1, 0}, {"wk-000004", TMX_FIN_CANCELLED, 0, 0},
+      {"wk-000005", TMX_OPEN, 0, 0},     {"wk-000006", TMX_OPEN, 1, 1},
+  };
+  for (size_t i = 0; i < sizeof jobs / sizeof *jobs; i++) {
+    const struct tmx_job *j = tmx_job_find(r, jobs[i].id);
+    assert_non_null(j);
+    assert_int_equal(j->fin, jobs[i].fin);
+    assert_int_equal(j->n_done, jobs[i].done);
+    assert_int_equal(j->n_placed, jobs[i].placed);
+    assert_false(tmx_job_blocked(j));
+  }
+  assert_int_equal(tmx_job_find(r, "wk-000001")->tasks[2].attempt, 2);
+  assert_false(r->pipelines);
+}
+
+static void machine_as_production_left_it(void) {
+  worker_set(&w, "wk-000002/0", 1, WV_RUNNING, "");
+  worker_set(&w, "wk-000001/0", 1, WV_RUNNING, "");
+  worker_set(&w, "wk-000001/2", 2, WV_RUNNING, "");
+  worker_set(&w, "wk-000006/1", 1, WV_RUNNING, "");
+  w.token = 16777216; /* of its first view */
+  w.seq = 30;
+}
+
+static bool job_done(void *arg) {
+  struct tmx_job *j = tmx_job_find(&a->rep, arg);
+  return j && j->fin == TMX_FIN_DONE;
+}
+
+static void production_data_is_gone_on_with(void **st) {
+  (void)st;
+  load_production_state();
+  begin();
+  as_production_left_it(&a->rep);
+  tmx_fold_above(a->fold, 0); /* folded by this version, and read again */
+  uint64_t mark = a->rep.fold_mark;
+  for (int i = 0; i < 600 && a->rep.fold_mark == mark; i++) pump_for(0.02);
+  assert_true(a->rep.fold_mark > mark);
+  restart();
+  as_production_left_it(&a->rep);
+  tmx_fold_above(a->fold, 1000);
+  machine_as_production_left_it();
+  for (int i = 0; i < 5; i++) {
+    worker_report(&w, a);
+    worker_do(&w);
+    pump_for(0.2);
+  }
+  assert_int_equal(w.executed_starts, 0); /* what runs is not started once more */
+  worker_set(&w, "wk-000006/1", 1, WV_EXITED, WV_DONE);
+  worker_report(&w, a);
+  assert_true(pump(job_done, "wk-000006"));
+  assert_string_equal(poll_job(a, "wk-000003").state, WV_DONE);
+  assert_string_equal(poll_job(a, "wk-000004").state, WV_CANCELLED);
+  /* and jobs may await those that production accepted */
+  struct tmx_buf list = {0}, body = {0};
+  tmx_w_list(&list, 2);
+  tmx_w_str(&list, "wk-000003");
+  tmx_w_str(&list, "wk-000001");
+  submission_awaiting(&body, "wk-000007", WV_ARRAY, 1, 1, "t", &list);
+  assert_int_equal(call(a, "POST", WP_JOBS, &body).status, 201);
+  pump_for(0.5);
+  assert_true(tmx_job_blocked(tmx_job_find(&a->rep, "wk-000007")));
+  worker_set(&w, "wk-000001/0", 1, WV_EXITED, WV_DONE);
+  worker_set(&w, "wk-000001/2", 2, WV_EXITED, WV_DONE);
+  worker_report(&w, a);
+  assert_true(pump(job_done, "wk-000001"));
+  assert_false(tmx_job_blocked(tmx_job_find(&a->rep, "wk-000007")));
+  tmx_buf_free(&list);
+  tmx_buf_free(&body);
+}
+
+/* ------------------------------------------------------------ what production reads */
+
+enum { PRODUCTION_RECORD = 19 }; /* entries of a job's record */
+
+static void record_as_production_reads(const cbor_item_t *job) {
+  assert_int_equal(tmx_r_len(job), PRODUCTION_RECORD);
+}
+
+static void line_as_production_reads(const char *line) {
+  struct tmx_op o;
+  if (strchr("mdxt", line[0]))
+    assert_int_equal(line[1], ' ');
+  else
+    assert_true(tmx_op_parse(line, &o));
+}
+
+static void lines_as_production_reads(const cbor_item_t *value) {
+  char line[TMX_LINE_MAX];
+  const cbor_item_t *ops = tmx_r_get(value, "ops"), *jobs = tmx_r_get(value, "jobs");
+  for (size_t i = 0; i < tmx_r_len(jobs); i++) record_as_production_reads(tmx_r_at(jobs, i));
+  for (size_t i = 0; i < tmx_r_len(ops); i++) {
+    assert_true(tmx_r_str(tmx_r_at(ops, i), line, sizeof line));
+    line_as_production_reads(line);
+  }
+  assert_int_equal(cbor_map_size(value), (jobs != NULL) + (ops != NULL));
+}
+
+static bool is_under(const char *key, const char *prefix) {
+  return !strncmp(key, prefix, strlen(prefix));
+}
+
+static void all_as_production_reads(void) {
+  for (size_t i = 0; i < state.n_e; i++) {
+    const struct fake_entry *e = &state.e[i];
+    cbor_item_t *value = tmx_cbor_parse(e->value, e->len);
+    if (is_under(e->key, TMX_K_JOB))
+      record_as_production_reads(value);
+    else if (is_under(e->key, TMX_K_BATCH) || is_under(e->key, TMX_K_PAGE))
+      lines_as_production_reads(value);
+    else if (!strcmp(e->key, TMX_K_VIEW))
+      assert_int_equal(cbor_map_size(value), 4);
+    else
+      assert_true(!strcmp(e->key, TMX_K_FOLD) || !strcmp(e->key, TMX_K_HEAD) ||
+                  !strcmp(e->key, TMX_K_LEADER) || is_under(e->key, TMX_K_NODE));
+    tmx_cbor_free(value);
+  }
+}
+
+/* Placements, ends of all kinds, final states, a view, a fold: without a job that awaits others
+ * every form is one that production reads. */
+static void forms_before_the_first_pipeline(void **st) {
+  (void)st;
+  begin();
+  for (int i = 0; i < 5; i++) {
+    worker_report(&w, a);
+    pump_for(0.1);
+  }
+  assert_int_equal(submit(a, "wk-000001", WV_ARRAY, 3, 1, "t"), 201);
+  assert_int_equal(submit(a, "wk-000002", WV_SERVICE, 1, 1, "t"), 201);
+  assert_int_equal(submit(a, "wk-000003", WV_ARRAY, 2, 1, "t"), 201);
+  pump_for(1);
+  assert_int_equal(w.executed_starts, 6);
+  worker_set(&w, "wk-000001/0", 1, WV_EXITED, WV_DONE);
+  worker_set(&w, "wk-000001/1", 1, WV_EXITED, WV_ERROR);
+  worker_set(&w, "wk-000003/0", 1, WV_EXITED, WV_DONE);
+  worker_set(&w, "wk-000003/1", 1, WV_EXITED, WV_DONE);
+  worker_report(&w, a);
+  assert_true(pump(job_done, "wk-000003"));
+  assert_string_equal(cancel_job(a, "wk-000002").state, WV_CANCELLED);
+  all_as_production_reads();
+  tmx_fold_above(a->fold, 0);
+  for (int i = 0; i < 600 && !a->rep.fold_mark; i++) pump_for(0.02);
+  assert_true(a->rep.fold_mark > 0);
+  pump_for(1);
+  all_as_production_reads();
+}
+
+/* XDR records tolerate no added fields: a heartbeat of production is read, and the same is sent. */
+static void heartbeat_of_production(void **st) {
+  (void)st;
+  char hex[1024];
+  uint8_t bytes[512];
+  char again[512];
+  FILE *f = data("production-heartbeat.txt");
+  do assert_non_null(fgets(hex, sizeof hex, f));
+  while (hex[0] == '#');
+  fclose(f);
+  size_t n = from_hex(hex, bytes, sizeof bytes);
+  struct tmx_beat beat;
+  XDR x;
+  memset(&beat, 0, sizeof beat);
+  xdrmem_create(&x, (char *)bytes, (u_int)n, XDR_DECODE);
+  assert_true(xdr_tmx_beat(&x, &beat));
+  assert_int_equal(xdr_getpos(&x), n);
+  assert_string_equal(beat.node, "hand-1");
+  assert_int_equal(beat.revision, 4711);
+  assert_int_equal(beat.suspects.suspects_len, 2);
+  assert_string_equal(beat.zones.zones_val[0].name, "a");
+  xdrmem_create(&x, again, sizeof again, XDR_ENCODE);
+  assert_true(xdr_tmx_beat(&x, &beat));
+  assert_int_equal(xdr_getpos(&x), n);
+  assert_memory_equal(again, bytes, n);
+  xdr_free((xdrproc_t)xdr_tmx_beat, (char *)&beat);
+}
+
+int main(void) {
+  const struct CMUnitTest t[] = {
+      cmocka_unit_test_setup_teardown(production_data_is_gone_on_with, setup, teardown),
+      cmocka_unit_test_setup_teardown(forms_before_the_first_pipeline, setup, teardown),
+      cmocka_unit_test_setup_teardown(heartbeat_of_production, setup, teardown),
+  };
+  setenv("LOG_LEVEL", "error", 0);
+  tmx_log_init("test");
+  if (getenv("TMX_TEST")) cmocka_set_test_filter(getenv("TMX_TEST")); /* one of them, by hand */
+  return cmocka_run_group_tests(t, NULL, NULL);
+}
