--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -79,9 +79,11 @@
 #define TMX_FINISHED_MAX 64      /* jobs that end in one batch */
 #define TMX_RESENDS 6            /* of a batch that lost the race for head; then planned anew */
 #define TMX_REGISTER_MAX 256     /* machines registered in one batch */
-#define TMX_PLAN_BUSY_S 0.1      /* of a controller's share: a round takes no longer ... */
-#define TMX_PLAN_VISIT_S 5e-8    /* processor time of a machine or task looked at */
-#define TMX_PLAN_VISITS 400000   /* ... and looks at no more of them: about 20 ms */
+#define TMX_PLANNER_STACK \
+  ((size_t)512 << 10)          /* bytes; memory is short, and a round recurses nowhere */
+#define TMX_PLAN_BUSY_S 0.1    /* of a controller's share: a round takes no longer ... */
+#define TMX_PLAN_VISIT_S 5e-8  /* processor time of a machine or task looked at */
+#define TMX_PLAN_VISITS 400000 /* ... and looks at no more of them: about 20 ms */
 #define TMX_PLAN_VISITS_LEAST \
   20000 /* with a share so small, a single job still finds its machine */
 #define TMX_BEGIN_S                                                                                \
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -932,7 +932,7 @@
   p->done.data = p;
   ev_async_start(c->loop, &p->done);
   pthread_attr_init(&a);
-  pthread_attr_setstacksize(&a, 512 * 1024); /* memory is short; the round recurses nowhere */
+  pthread_attr_setstacksize(&a, TMX_PLANNER_STACK);
   if (pthread_create(&p->thread, &a, planner_main, p)) abort();
   pthread_attr_destroy(&a);
   return p;
--- a/src/state/fold.c
+++ b/src/state/fold.c
@@ -118,14 +118,14 @@
   size_t max = tmx_value_room(&c->set), n = 0, n_jobs = 0, len = 0, all = 0;
   int puts = (int)tmx_link_budget(c->link);
   char line[TMX_LINE_MAX], key[TMX_KEY_MAX + 1];
-  struct place at = f->at, before = at;
+  struct place at = f->at;
   if (puts > c->set.txn_ops) puts = c->set.txn_ops;
   bool more = true;
   tmx_txn_if(&t, TMX_K_HEAD, c->rep.head);
   while (more && t.n_ops < puts && all + max + TMX_JSON_FRAME < TMX_TXN_BYTES) {
     list.n = jobs.n = n = n_jobs = len = 0;
     for (;;) {
-      before = at;
+      struct place before = at;
       one.n = 0;
       more = next_line(f, &at, line, sizeof line, &one);
       if (!more) break;
