--- a/src/controller.h
+++ b/src/controller.h
@@ -52,7 +52,7 @@
 void tmx_ctl_take(struct tmx_ctl *c, const char *const *machines, size_t n);
 int tmx_retry_after(void);
 
-/* src/rounds.c: rounds of placing, and the batches that they write */
+/* src/rounds: rounds of placing, and the batches that they write */
 struct tmx_rounds *tmx_rounds_new(struct tmx_ctl *c);
 void tmx_rounds_free(struct tmx_rounds *p);
 bool tmx_rounds_planning(const struct tmx_rounds *p); /* for the tests: the planner has work */
