--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -75,6 +75,7 @@
 #define TMX_LINE_TYPICAL 26      /* bytes; a placement: bounds what is planned at once */
 #define TMX_ITEM_TYPICAL 13      /* ... where operations of one job share a line */
 #define TMX_ROUND_SPACING_S 0.03 /* least time between two rounds of one controller */
+#define TMX_ROUND_EMPTY_S 0.1    /* after a round that was cut and had nothing to send */
 #define TMX_ROUND_PUTS 2.05      /* puts of the smallest batch: one value and head */
 #define TMX_FINISHED_MAX 64      /* jobs that end in one batch */
 #define TMX_RESENDS 6            /* of a batch that lost the race for head; then planned anew */
--- a/src/rounds/commit.c
+++ b/src/rounds/commit.c
@@ -32,23 +32,6 @@
   tmx_rounds_kick_in(c, res == TMX_TXN_OK ? (cut ? 0 : TMX_ROUND_SPACING_S) : TMX_STATE_RETRY_S);
 }
 
-/* Jobs that were cancelled through others get a final state of their own while puts are to spare:
- * until then every copy, and every fold, keeps what they were derived from. */
-static void add_derived_ends(struct tmx_rounds *p, struct tmx_batch *b) {
-  struct tmx_ctl *c = p->c;
-  tmx_replica_tidy_unstored(&c->rep);
-  if (!tmx_link_leading(c->link) || !tmx_link_spare(c->link)) return;
-  for (size_t i = 0; i < c->rep.n_unstored && b->spare >= 1; i++, b->spare--) {
-    const struct tmx_job *j = c->rep.unstored[i];
-    char key[TMX_KEY_MAX + 1];
-    snprintf(key, sizeof key, TMX_K_JOB "%s", j->id);
-    tmx_txn_if(&b->t, key, j->stamp);
-    b->v.n = 0;
-    tmx_job_encode_final(&b->v, j, TMX_FIN_CANCELLED, 0, tmx_value_room(&c->set));
-    tmx_txn_put(&b->t, key, &b->v, 0);
-  }
-}
-
 static int by_group(const void *a, const void *b) {
   const struct tmx_op *x = a, *y = b;
   int order = strcmp(x->job, y->job);
@@ -74,111 +57,166 @@
   return n;
 }
 
-/* The log's order in a batch: ends, machines, placements and stops. */
-void tmx_round_commit(struct tmx_rounds *p) {
-  struct tmx_ctl *c = p->c;
-  struct tmx_replica *r = &c->rep;
+/* A batch while it is put together. */
+struct draft {
+  struct tmx_batch b;
   struct tmx_check check;
-  /* the version in production does not read lines of several operations: see docs/design.md */
-  struct tmx_batch b = {.p = p, .value_max = tmx_value_room(&c->set), .grouped = r->pipelines};
-  char line[TMX_LINE_MAX];
+  struct tmx_job *finished[TMX_FINISHED_MAX]; /* jobs whose last end is in it */
+  size_t n_finished, placed;
+  bool full;  /* something found no room */
+  bool later; /* a job's last end waits for a put */
+};
+
+/* How many puts the batch may take, beside the one of head. */
+static int spare_puts(struct tmx_rounds *p) {
+  struct tmx_ctl *c = p->c;
   double budget = tmx_link_budget(c->link);
-  struct tmx_job *finished[TMX_FINISHED_MAX];
-  size_t n_fin = 0, placed = 0;
-  bool more = false, later = false;
-  p->puts = TMX_ROUND_PUTS;
-  for (size_t i = 0; i < p->n_lines; i++) p->lines[i].sent = false;
-  b.spare = c->set.txn_ops - 1;
-  if (budget < b.spare + 1) b.spare = (int)floor(budget) - 1;
-  if (b.spare < 1) b.spare = 1; /* begin() saw to it that this much may be sent */
-  int room_for_ends = (int)fmin(c->set.txn_ops - 1 - b.spare, last_ends(p));
-  if (room_for_ends > 0) b.spare += tmx_link_extra(c->link, room_for_ends);
-  tmx_txn_if(&b.t, TMX_K_HEAD, r->head);
-  tmx_check_begin(&check, r);
-  tmx_submissions_add(p, &b);
-  if (b.grouped) qsort(p->ends, p->n_ends, sizeof *p->ends, by_group);
-  for (size_t i = 0; i < p->n_ends; i++) {
-    const struct tmx_op *o = &p->ends[i];
-    struct tmx_task *t = tmx_round_task(r, o);
-    if (!t || t->state != TMX_PLACED || t->attempt != o->attempt) continue;
-    /* the last task's end and the job's final state are one transaction */
-    bool last = o->how == TMX_END_DONE && !t->job->fin &&
-                t->job->n_done + t->job->n_ending + 1 == t->job->spec.tasks;
-    /* A job's last end needs a put more. When there is none for it the others go on without it, and
-     * the next round waits for enough: or one such end would hold the whole log up for good. */
-    if (last && (n_fin == TMX_FINISHED_MAX || b.spare < 2)) {
-      p->puts = TMX_ROUND_PUTS + 1;
-      later = true;
-      if (tmx_log_on(TMX_DEBUG)) tmx_log(TMX_DEBUG, "job: %s is done, and waits for a put", o->job);
-      continue;
-    }
-    if (!tmx_batch_op(&b, o, last)) {
-      more = true;
-      break;
-    }
-    tmx_check_op(&check, o);
-    if (o->how == TMX_END_DONE && !t->job->fin) t->job->n_ending++;
-    if (!last) continue;
-    finished[n_fin++] = t->job;
-    b.spare--;
+  int most = c->set.txn_ops - 1, spare = most;
+  if (budget < spare + 1) spare = (int)floor(budget) - 1;
+  if (spare < 1) spare = 1; /* begin() saw to it that this much may be sent */
+  int for_ends = (int)fmin(most - spare, last_ends(p));
+  return for_ends > 0 ? spare + tmx_link_extra(c->link, for_ends) : spare;
+}
+
+/* false: the batch is full. The last task's end and the job's final state are one transaction. A
+ * job's last end needs a put more. When there is none for it the others go on without it, and the
+ * next round waits for enough: or one such end would hold the whole log up for good. */
+static bool add_end(struct tmx_rounds *p, struct draft *d, const struct tmx_op *o) {
+  struct tmx_task *t = tmx_round_task(&p->c->rep, o);
+  if (!t || t->state != TMX_PLACED || t->attempt != o->attempt) return true;
+  bool counts = o->how == TMX_END_DONE && !t->job->fin;
+  bool last = counts && t->job->n_done + t->job->n_ending + 1 == t->job->spec.tasks;
+  if (last && (d->n_finished == TMX_FINISHED_MAX || d->b.spare < 2)) {
+    p->puts = TMX_ROUND_PUTS + 1;
+    d->later = true;
+    if (tmx_log_on(TMX_DEBUG)) tmx_log(TMX_DEBUG, "job: %s is done, and waits for a put", o->job);
+    return true;
   }
+  if (!tmx_batch_op(&d->b, o, last)) return false;
+  tmx_check_op(&d->check, o);
+  if (counts) t->job->n_ending++;
+  if (!last) return true;
+  d->finished[d->n_finished++] = t->job;
+  d->b.spare--;
+  return true;
+}
+
+static void add_ends(struct tmx_rounds *p, struct draft *d) {
+  if (d->b.grouped) qsort(p->ends, p->n_ends, sizeof *p->ends, by_group);
+  for (size_t i = 0; i < p->n_ends && !d->full; i++) d->full = !add_end(p, d, &p->ends[i]);
   for (size_t i = 0; i < p->n_ends; i++) {
-    struct tmx_task *t = tmx_round_task(r, &p->ends[i]);
+    struct tmx_task *t = tmx_round_task(&p->c->rep, &p->ends[i]);
     if (t) t->job->n_ending = 0;
   }
+}
+
+static void add_pending_lines(struct tmx_rounds *p, struct draft *d) {
   for (size_t i = 0; i < p->n_lines; i++) {
-    if (!more && tmx_batch_line(&b, p->lines[i].text, 0))
-      p->lines[i].sent = true;
-    else
-      more = true;
+    p->lines[i].sent = !d->full && tmx_batch_line(&d->b, p->lines[i].text, 0);
+    d->full |= !p->lines[i].sent;
   }
+}
+
+static void add_registrations(struct tmx_rounds *p, struct draft *d) {
   struct tmx_worker_facts facts[TMX_REGISTER_MAX];
-  size_t n_f = more ? 0 : tmx_workers_unregistered(c->workers, facts, TMX_REGISTER_MAX);
-  for (size_t i = 0; i < n_f && !more; i++) {
+  char line[TMX_LINE_MAX];
+  if (d->full) return;
+  size_t n = tmx_workers_unregistered(p->c->workers, facts, TMX_REGISTER_MAX);
+  for (size_t i = 0; i < n && !d->full; i++) {
     snprintf(line, sizeof line, "m %.31s %.63s %.31s %.63s %d 0", facts[i].id, facts[i].addr,
              facts[i].type, facts[i].zone, facts[i].spot);
-    more = !tmx_batch_line(&b, line, 0);
+    d->full = !tmx_batch_line(&d->b, line, 0);
   }
-  if (n_f == TMX_REGISTER_MAX) more = true;
-  for (size_t i = 0; i < p->plan.n_ops && !more; i++) {
+  if (n == TMX_REGISTER_MAX) d->full = true;
+}
+
+/* Room whose end did not fit into the batch is not free in the log: the check sees that. */
+static void add_planned(struct tmx_rounds *p, struct draft *d) {
+  for (size_t i = 0; i < p->plan.n_ops && !d->full; i++) {
     const struct tmx_op *o = &p->plan.ops[i];
-    /* room whose end did not fit into the batch is not free in the log: the check sees that */
-    if (!tmx_check_op(&check, o)) continue;
-    more = !tmx_batch_op(&b, o, 0);
-    placed += !more;
-  }
-  tmx_batch_flush(&b);
-  for (size_t i = 0; i < n_fin; i++) {
-    struct tmx_job *j = finished[i];
-    char key[TMX_KEY_MAX + 1];
-    snprintf(key, sizeof key, TMX_K_JOB "%s", j->id);
-    tmx_txn_if(&b.t, key, j->stamp);
-    b.v.n = 0;
-    tmx_job_encode_final(&b.v, j, TMX_FIN_DONE, r->pipelines ? tmx_wall() : 0,
-                         tmx_value_room(&c->set));
-    tmx_txn_put(&b.t, key, &b.v, 0);
+    if (!tmx_check_op(&d->check, o)) continue;
+    d->full = !tmx_batch_op(&d->b, o, 0);
+    d->placed += !d->full;
   }
-  add_derived_ends(p, &b);
-  tmx_buf_free(&b.list);
-  tmx_buf_free(&b.jobs);
-  tmx_buf_free(&b.v);
-  p->plan.cut |= more || later;
-  if (!b.t.n_ops) {
-    bool cut = p->plan.cut;
-    tmx_buf_free(&b.t.conds);
-    tmx_buf_free(&b.t.ops);
-    tmx_round_over(p);
-    if (cut) tmx_rounds_kick_in(c, 0.1);
-    return;
-  }
-  tmx_txn_head(&b.t, c->set.node);
+}
+
+static void put_final_state(struct tmx_rounds *p, struct tmx_batch *b, const struct tmx_job *j,
+                            int fin, double ended) {
+  char key[TMX_KEY_MAX + 1];
+  snprintf(key, sizeof key, TMX_K_JOB "%s", j->id);
+  tmx_txn_if(&b->t, key, j->stamp);
+  b->v.n = 0;
+  tmx_job_encode_final(&b->v, j, fin, ended, tmx_value_room(&p->c->set));
+  tmx_txn_put(&b->t, key, &b->v, 0);
+}
+
+/* Jobs that were cancelled through others get a final state of their own while puts are to spare:
+ * until then every copy, and every fold, keeps what they were derived from. */
+static void add_derived_ends(struct tmx_rounds *p, struct tmx_batch *b) {
+  struct tmx_ctl *c = p->c;
+  tmx_replica_tidy_unstored(&c->rep);
+  if (!tmx_link_leading(c->link) || !tmx_link_spare(c->link)) return;
+  for (size_t i = 0; i < c->rep.n_unstored && b->spare >= 1; i++, b->spare--)
+    put_final_state(p, b, c->rep.unstored[i], TMX_FIN_CANCELLED, 0);
+}
+
+static void add_final_states(struct tmx_rounds *p, struct draft *d) {
+  double ended = p->c->rep.pipelines ? tmx_wall() : 0;
+  tmx_batch_flush(&d->b);
+  for (size_t i = 0; i < d->n_finished; i++)
+    put_final_state(p, &d->b, d->finished[i], TMX_FIN_DONE, ended);
+  add_derived_ends(p, &d->b);
+}
+
+static void free_draft(struct draft *d) {
+  tmx_buf_free(&d->b.list);
+  tmx_buf_free(&d->b.jobs);
+  tmx_buf_free(&d->b.v);
+}
+
+static void nothing_to_send(struct tmx_rounds *p, struct draft *d) {
+  bool cut = p->plan.cut;
+  tmx_buf_free(&d->b.t.conds);
+  tmx_buf_free(&d->b.t.ops);
+  tmx_round_over(p);
+  if (cut) tmx_rounds_kick_in(p->c, TMX_ROUND_EMPTY_S);
+}
+
+static void send_batch(struct tmx_rounds *p, struct draft *d) {
+  struct tmx_ctl *c = p->c;
+  tmx_txn_head(&d->b.t, c->set.node);
   if (tmx_log_on(TMX_DEBUG))
     tmx_log(TMX_DEBUG, "round: %zu ends, %zu of %zu planned, %zu looked at, %d keys, resent %d",
-            p->n_ends, placed, p->plan.n_ops, p->plan.visits, b.t.n_ops, p->resent);
-  p->sent_head = r->head;
-  p->sending = tmx_link_commit(c->link, &b.t, true, on_batch, p);
+            p->n_ends, d->placed, p->plan.n_ops, p->plan.visits, d->b.t.n_ops, p->resent);
+  p->sent_head = c->rep.head;
+  p->sending = tmx_link_commit(c->link, &d->b.t, true, on_batch, p);
   if (p->sending) return;
   for (size_t i = 0; i < p->n_arrivals; i++) p->arrivals[i]->sent = false;
   tmx_round_over(p);
   tmx_rounds_kick_in(c, TMX_STATE_RETRY_S);
 }
+
+/* The log's order in a batch: submissions, ends, machines, placements and stops. The version in
+ * production does not read lines of several operations: see docs/design.md. */
+void tmx_round_commit(struct tmx_rounds *p) {
+  struct tmx_ctl *c = p->c;
+  struct draft d = {.b = {.p = p,
+                          .value_max = tmx_value_room(&c->set),
+                          .grouped = c->rep.pipelines,
+                          .spare = spare_puts(p)}};
+  p->puts = TMX_ROUND_PUTS;
+  tmx_txn_if(&d.b.t, TMX_K_HEAD, c->rep.head);
+  tmx_check_begin(&d.check, &c->rep);
+  tmx_submissions_add(p, &d.b);
+  add_ends(p, &d);
+  add_pending_lines(p, &d);
+  add_registrations(p, &d);
+  add_planned(p, &d);
+  add_final_states(p, &d);
+  free_draft(&d);
+  p->plan.cut |= d.full || d.later;
+  if (d.b.t.n_ops)
+    send_batch(p, &d);
+  else
+    nothing_to_send(p, &d);
+}
