--- a/tests/load.c
+++ b/tests/load.c
@@ -5,6 +5,7 @@
 #include "fake.h"
 
 #include <gsl/gsl_rng.h>
+#include <math.h>
 #include <popt.h>
 #include <signal.h>
 #include <stdio.h>
@@ -37,6 +38,9 @@
 static gsl_rng *rng;
 static unsigned accepted, refused, asked, answered, finished;
 static double begun_at;
+/* since the line before was printed */
+static double slowest_report, slowest_submission;
+static unsigned state_commits, state_reads;
 
 static void child(int k, int fd) {
   struct tmx_settings s;
@@ -107,6 +111,7 @@
   struct worker *x = arg;
   double now = tmx_now();
   x->busy = false;
+  slowest_report = fmax(slowest_report, now - x->last);
   if (status != 200 && status != 421) {
     x->at = (x->at + 1) % nodes;
     x->due = now + 1;
@@ -147,7 +152,9 @@
 }
 
 static void on_submitted(void *arg, int status, const uint8_t *body, size_t len) {
-  (void)arg;
+  double *sent = arg;
+  if (status == 201) slowest_submission = fmax(slowest_submission, tmx_now() - *sent);
+  free(sent);
   (void)body;
   (void)len;
   if (status == 201)
@@ -169,8 +176,12 @@
   snprintf(id, sizeof id, "wk-%c%06u", service ? 's' : 'a',
            service ? sent_services++ : sent_arrays++);
   submission(&b, id, service ? "service" : "batch", service ? 6 : 70, service ? 2 : 4, "t");
-  tmx_client_call(node[gsl_rng_uniform_int(rng, (unsigned long)nodes)].users, "POST", WP_JOBS, &b,
-                  5, on_submitted, NULL);
+  double *sent = malloc(sizeof *sent);
+  if (!sent) abort();
+  *sent = tmx_now();
+  if (!tmx_client_call(node[gsl_rng_uniform_int(rng, (unsigned long)nodes)].users, "POST", WP_JOBS,
+                       &b, 5, on_submitted, sent))
+    free(sent);
   tmx_buf_free(&b);
 }
 static void ask_one(void) {
@@ -204,6 +215,19 @@
   while (tmx_now() < until) pump_for(until - tmx_now() < 5 ? until - tmx_now() : 5);
 }
 
+static void show_peers(double over) {
+  unsigned reads = 0;
+  for (int k = 0; k < nodes; k++) reads += state.doors[k].reads;
+  printf(
+      "  | slowest report %.2f s, accepted submission %.2f s; state: %.1f commits, %.1f reads a "
+      "second\n",
+      slowest_report, slowest_submission, (state.commits - state_commits) / over,
+      (reads - state_reads) / over);
+  slowest_report = slowest_submission = 0;
+  state_commits = state.commits;
+  state_reads = reads;
+}
+
 static void show(const char *when, double over) {
   printf("%-22s", when);
   for (int k = 0; k < nodes; k++) {
@@ -211,8 +235,9 @@
     printf("  %d: %.3f of a core, %.1f MB (%.1f)", k, (cpu - node[k].cpu) / over, mb, peak);
     node[k].cpu = cpu;
   }
-  printf("  | accepted %u, refused %u, polls %u of %u, tasks done %u\n", accepted, refused,
-         answered, asked, finished);
+  printf("  | accepted %u, refused %u, polls %u of %u, tasks done %u", accepted, refused, answered,
+         asked, finished);
+  show_peers(over);
   fflush(stdout);
 }
 
