--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -207,4 +207,51 @@
 #define TMX_USE_LOG_S 10.0     /* between lines about what is rented and used */
 #define TMX_HEADROOM 0.08      /* of the room booked by services, kept free for restarts */
 
+/* --- admission --- */
+/* s of the whole cluster's work that may be admitted: three times the longest usual aim */
+#define TMX_ADMISSION_BACKLOG_S 900.0
+/* of the bound: half is set aside for teams and classes, half goes to who asks */
+#define TMX_ADMISSION_RESERVE 0.5
+/* s: a class whose work waits gets a start this often, whatever else is asked for */
+#define TMX_ADMISSION_START_S 45.0
+/* s: longer than any process runs */
+#define TMX_NEVER_S 1.0e9
+/* a party may take four fifths of what the others leave of a pool */
+#define TMX_SHARE_ALPHA 4.0
+/* shares that differ by less are equal */
+#define TMX_SHARE_EPSILON 1e-6
+/* of a team's ceiling: so much more for jobs that await accepted ones */
+#define TMX_PIPELINE_EXTRA 0.25
+/* accounts a team for classes that no objective names: two names meet once in sixteen */
+#define TMX_HASHED_ACCOUNTS 16
+/* any, but the same in every version, or controllers judge differently */
+#define TMX_ACCOUNT_HASH_SEED 0
+/* s: a replica that waits for room counts as long as the least charge of a machine */
+#define TMX_ADMISSION_SERVICE_S 60.0
+/* s: estimates below this count as this, as a start takes as long */
+#define TMX_RUN_LEAST_S 1.0
+#define TMX_MILLI 1000.0
+#define TMX_MB_PER_GB 1000.0
+/* of one resource of one job: over a day of 10,000 CPUs; nine million such jobs fit a sum */
+#define TMX_LOAD_MAX 1.0e12
+/* bytes of the log: record and final state of a job; a task's placement and its end */
+#define TMX_LOG_JOB_BYTES 200
+#define TMX_LOG_TASK_BYTES (2L * TMX_LINE_TYPICAL)
+/* of a controller's memory: for jobs that are not over */
+#define TMX_HELD_SHARE 0.25
+/* of the bound: above this backlog submissions go with batches only, which all rewrite head ... */
+#define TMX_DIRECT_ADMISSION 0.25
+/* ... and so does one that is larger than this */
+#define TMX_DIRECT_LOAD 0.01
+/* s; users follow Retry-After up to 30 s, with the random part */
+#define TMX_ADMISSION_RETRY_MAX_S 20.0
+/* of Retry-After is added at random at most: returns come apart */
+#define TMX_ADMISSION_SPREAD 0.5
+/* s between two lots of lines about accounts */
+#define TMX_ADMISSION_LOG_S 60.0
+/* the distribution of waits: bins, the factor between their bounds, the first bound in s */
+#define TMX_START_BINS 64
+#define TMX_START_BIN_FACTOR 1.2
+#define TMX_START_BIN_FIRST_S 0.05
+
 #endif
--- /dev/null
+++ b/src/admission/gate.c
@@ -0,0 +1,198 @@
+#include "admission/gate.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "admission/statistics.h"
+#include "controller.h"
+#include "net/log.h"
+
+struct tmx_gate {
+  struct tmx_ctl *controller;
+  struct tmx_backlog backlog;    /* of the replica */
+  struct tmx_backlog on_its_way; /* of this controller's commits without an answer */
+  struct tmx_statistics *statistics;
+  double reported_at;
+};
+
+static void on_begin(void *arg, struct tmx_job *job) {
+  struct tmx_ctl *controller = arg;
+  if (job->team < 0 || !job->charged) return;
+  tmx_statistics_start(controller->gate->statistics, (size_t)job->team, (size_t)job->account,
+                       tmx_wall() - job->released);
+}
+
+struct tmx_gate *tmx_gate_new(struct tmx_ctl *controller) {
+  if (!controller->set.op.admission.enabled) return NULL;
+  struct tmx_gate *gate = calloc(1, sizeof *gate);
+  if (!gate) abort();
+  gate->controller = controller;
+  gate->statistics = tmx_statistics_new();
+  gate->reported_at = tmx_now();
+  tmx_backlog_init(&gate->backlog, &controller->set);
+  tmx_backlog_init(&gate->on_its_way, &controller->set);
+  controller->rep.backlog = &gate->backlog;
+  controller->rep.on_begin = on_begin;
+  return gate;
+}
+
+void tmx_gate_free(struct tmx_gate *gate) {
+  if (!gate) return;
+  tmx_statistics_free(gate->statistics);
+  free(gate);
+}
+
+/* ------------------------------------------------------------ rates */
+
+static struct tmx_machine_size present_machines(const struct tmx_ctl *c) {
+  struct tmx_machine_size sum = {0};
+  for (size_t i = 0; i < c->rep.n_types; i++) {
+    const struct tmx_type_count *count = &c->rep.types[i];
+    const struct tmx_type *type = tmx_cloud_type(c->cloud, count->type);
+    if (!type) continue;
+    sum.cpus += count->machines * type->cpus;
+    sum.gpus += count->machines * type->gpus;
+    sum.mem_gb += count->machines * type->mem;
+  }
+  return sum;
+}
+
+static struct tmx_machine_size largest_machine(const struct tmx_ctl *c) {
+  struct tmx_machine_size most = {0};
+  size_t n;
+  const struct tmx_type *types = tmx_cloud_types(c->cloud, &n);
+  for (size_t i = 0; i < n; i++) {
+    most.cpus = fmax(most.cpus, types[i].cpus);
+    most.gpus = fmax(most.gpus, types[i].gpus);
+    most.mem_gb = fmax(most.mem_gb, types[i].mem);
+  }
+  return most;
+}
+
+static struct tmx_rates rates_now(const struct tmx_gate *gate) {
+  const struct tmx_ctl *c = gate->controller;
+  struct tmx_machine_size present = present_machines(c), largest = largest_machine(c);
+  return tmx_admission_rates(&c->set, &present, &largest);
+}
+
+/* ------------------------------------------------------------ judgement */
+
+struct tmx_candidate tmx_gate_candidate(const struct tmx_gate *gate, const struct tmx_spec *spec,
+                                        int team) {
+  struct tmx_candidate candidate = {.team = team};
+  if (!gate || team < 0) return candidate;
+  candidate.account = tmx_backlog_account(&gate->backlog, spec->class);
+  candidate.load = tmx_load_of(spec, spec->tasks);
+  return candidate;
+}
+
+static bool any_open(const struct tmx_replica *r, const struct tmx_awaits *awaits) {
+  for (uint32_t i = 0; i < awaits->n; i++) {
+    const struct tmx_job *job = tmx_job_find(r, awaits->ids[i]);
+    if (job && !job->fin) return true;
+  }
+  return false;
+}
+
+struct tmx_ruling tmx_gate_judge(const struct tmx_gate *gate, struct tmx_candidate *candidate,
+                                 const struct tmx_awaits *awaits) {
+  if (!gate || candidate->team < 0) return (struct tmx_ruling){.verdict = TMX_ADMITTED};
+  struct tmx_rates rates = rates_now(gate);
+  candidate->awaits_open = any_open(&gate->controller->rep, awaits);
+  return tmx_admission_judge(&gate->controller->set, &gate->backlog, &gate->on_its_way, &rates,
+                             candidate);
+}
+
+bool tmx_gate_may_go_alone(const struct tmx_gate *gate, const struct tmx_candidate *candidate) {
+  if (!gate || candidate->team < 0) return true;
+  double bound = gate->controller->set.op.admission.backlog_s;
+  struct tmx_rates rates = rates_now(gate);
+  if (tmx_load_seconds(&candidate->load, &rates) > TMX_DIRECT_LOAD * bound) return false;
+  double all = tmx_total_seconds(&gate->backlog, &rates);
+  return all <= TMX_DIRECT_ADMISSION * bound;
+}
+
+static void count_on_its_way(struct tmx_gate *gate, const struct tmx_candidate *candidate,
+                             int sign) {
+  if (!gate || candidate->team < 0) return;
+  struct tmx_account *account = &gate->on_its_way.accounts[candidate->team][candidate->account];
+  tmx_load_add(&account->load, &candidate->load, sign);
+  account->jobs += (uint32_t)sign;
+}
+
+void tmx_gate_hold(struct tmx_gate *gate, const struct tmx_candidate *candidate) {
+  count_on_its_way(gate, candidate, 1);
+}
+
+void tmx_gate_release(struct tmx_gate *gate, const struct tmx_candidate *candidate) {
+  count_on_its_way(gate, candidate, -1);
+}
+
+int tmx_gate_retry_after(const struct tmx_ruling *ruling) {
+  double wait = tmx_admission_retry_s(ruling);
+  int spread = (int)ceil(wait * TMX_ADMISSION_SPREAD);
+  return (int)wait + tmx_random_below(spread + 1);
+}
+
+/* ------------------------------------------------------------ what is seen */
+
+void tmx_gate_told(struct tmx_gate *gate, const struct tmx_candidate *candidate,
+                   enum tmx_admission_verdict verdict) {
+  if (!gate || candidate->team < 0) return;
+  tmx_statistics_ruling(gate->statistics, (size_t)candidate->team, candidate->account, verdict);
+}
+
+/* By account: how long its oldest job has waited for its first task, s. */
+struct oldest {
+  double wait_s[TMX_TEAMS_MAX][TMX_ACCOUNTS_MAX];
+};
+
+static void find_oldest(const struct tmx_replica *r, struct oldest *oldest) {
+  struct tmx_job *job, *next;
+  double now = tmx_wall();
+  HASH_ITER(hh, r->jobs, job, next) {
+    if (!job->charged || job->n_placed || job->n_done || tmx_job_blocked(job)) continue;
+    double *wait = &oldest->wait_s[job->team][job->account];
+    *wait = fmax(*wait, now - job->released);
+  }
+}
+
+static const char *account_name(const struct tmx_backlog *backlog, size_t account) {
+  return account < backlog->n_listed ? backlog->listed[account] : "(other classes)";
+}
+
+static void report_account(const struct tmx_gate *gate, size_t team, size_t i, double oldest_s,
+                           const struct tmx_rates *rates) {
+  const struct tmx_account *account = &gate->backlog.accounts[team][i];
+  struct tmx_account_figures f = tmx_statistics_figures(gate->statistics, team, i);
+  if (!account->jobs && !f.admitted && !f.refused_team && !f.refused_class && !f.starts) return;
+  tmx_log(TMX_INFO,
+          "admission: %s %s: %u jobs, backlog %.1f s, oldest waits %.0f s; admitted %lu, refused "
+          "%lu by team, %lu by class; %lu began, after %.1f s (median), %.1f s (99%%), %.1f s "
+          "(most)",
+          gate->controller->set.teams[team].name, account_name(&gate->backlog, i), account->jobs,
+          tmx_load_seconds(&account->load, rates), oldest_s, f.admitted, f.refused_team,
+          f.refused_class, f.starts, f.start_median_s, f.start_p99_s, f.start_most_s);
+}
+
+void tmx_gate_report(const struct tmx_gate *gate) {
+  if (!gate) return;
+  struct oldest *oldest = calloc(1, sizeof *oldest);
+  if (!oldest) abort();
+  find_oldest(&gate->controller->rep, oldest);
+  struct tmx_rates rates = rates_now(gate);
+  tmx_log(TMX_INFO, "admission: backlog %.1f s of %.0f s, %.0f CPUs",
+          tmx_total_seconds(&gate->backlog, &rates), gate->controller->set.op.admission.backlog_s,
+          rates.per_s[TMX_ADMISSION_CPU] / TMX_MILLI);
+  for (size_t team = 0; team < gate->backlog.n_teams; team++)
+    for (size_t i = 0; i < tmx_backlog_accounts(&gate->backlog); i++)
+      report_account(gate, team, i, oldest->wait_s[team][i], &rates);
+  free(oldest);
+}
+
+void tmx_gate_tick(struct tmx_gate *gate) {
+  if (!gate || tmx_now() - gate->reported_at < TMX_ADMISSION_LOG_S) return;
+  gate->reported_at = tmx_now();
+  tmx_gate_report(gate);
+}
--- /dev/null
+++ b/src/admission/gate.h
@@ -0,0 +1,34 @@
+/* Admission in a running controller: judges submissions on its replica, keeps account of its own
+ * that are being committed, and tells what it did. */
+#ifndef TMX_GATE_H
+#define TMX_GATE_H
+#include "admission/admission.h"
+#include "state/depend.h"
+
+struct tmx_ctl;
+struct tmx_gate;
+
+/* NULL: admission is not enabled. Every function below takes NULL for a gate that admits all. */
+struct tmx_gate *tmx_gate_new(struct tmx_ctl *controller);
+void tmx_gate_free(struct tmx_gate *gate);
+
+struct tmx_candidate tmx_gate_candidate(const struct tmx_gate *gate, const struct tmx_spec *spec,
+                                        int team);
+/* Judges on the replica as it stands, and on what this controller is committing. */
+struct tmx_ruling tmx_gate_judge(const struct tmx_gate *gate, struct tmx_candidate *candidate,
+                                 const struct tmx_awaits *awaits);
+/* May it be committed by itself, without head being rewritten. Where admission is contested two
+ * such commits could both take the last room. */
+bool tmx_gate_may_go_alone(const struct tmx_gate *gate, const struct tmx_candidate *candidate);
+/* A commit of it is under way; it has been answered. */
+void tmx_gate_hold(struct tmx_gate *gate, const struct tmx_candidate *candidate);
+void tmx_gate_release(struct tmx_gate *gate, const struct tmx_candidate *candidate);
+/* Counts what a user was told. */
+void tmx_gate_told(struct tmx_gate *gate, const struct tmx_candidate *candidate,
+                   enum tmx_admission_verdict verdict);
+/* s, for the answer to a refused submission; with a random part, so that returns come apart. */
+int tmx_gate_retry_after(const struct tmx_ruling *ruling);
+void tmx_gate_tick(struct tmx_gate *gate);
+/* Writes a line for every account that has work or was asked for since the start. */
+void tmx_gate_report(const struct tmx_gate *gate);
+#endif
--- /dev/null
+++ b/src/admission/turns.c
@@ -0,0 +1,21 @@
+#include "admission/turns.h"
+
+#include <math.h>
+#include <string.h>
+
+void tmx_turns_fill(struct tmx_turns *turns, const struct tmx_backlog *backlog,
+                    const struct tmx_settings *settings, double now) {
+  turns->start_s = backlog ? settings->op.admission.start_s : 0;
+  if (!backlog) return;
+  size_t accounts = tmx_backlog_accounts(backlog);
+  for (size_t team = 0; team < backlog->n_teams; team++)
+    for (size_t i = 0; i < accounts; i++) {
+      double started_at = backlog->accounts[team][i].started_at;
+      turns->since_start[team][i] = started_at > 0 ? now - started_at : TMX_NEVER_S;
+    }
+}
+
+bool tmx_turn_due(const struct tmx_turns *turns, size_t team, size_t account, double waited_s) {
+  if (turns->start_s <= 0) return false;
+  return fmin(turns->since_start[team][account], waited_s) >= turns->start_s;
+}
--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -212,6 +212,9 @@
   o->idle_return_s = TMX_IDLE_RETURN_S;
   o->headroom = TMX_HEADROOM;
   o->silent_s = 0;
+  o->admission = (struct tmx_admission_settings){.backlog_s = TMX_ADMISSION_BACKLOG_S,
+                                                 .reserve = TMX_ADMISSION_RESERVE,
+                                                 .start_s = TMX_ADMISSION_START_S};
 }
 
 static int to_share(const struct tmx_settings *s) {
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -19,10 +19,24 @@
 };
 #define TMX_TEAMS_MAX 32
 #define TMX_OBJECTIVES_MAX 32
+struct tmx_team_share { /* as the operators name it */
+  char team[TMX_NAME_MAX];
+  double share;
+};
+struct tmx_admission_settings {
+  bool enabled;
+  double backlog_s; /* work admitted and not done, at most: s of the whole cluster */
+  double reserve;   /* share of it that is set aside for teams and classes, 0 to 1 */
+  double start_s;   /* a class whose work waits gets a start this often, s */
+  struct tmx_team_share named[TMX_TEAMS_MAX];
+  size_t n_named;
+  double share[TMX_TEAMS_MAX]; /* of each team, by index; see tmx_admission_resolve */
+};
 struct tmx_operator {
   double idle_return_s; /* an empty machine is returned after this, s */
   double headroom;      /* share of the services' room kept free */
   double silent_s;      /* a machine that answers no probe goes after this, s; 0: the default */
+  struct tmx_admission_settings admission;
 };
 struct tmx_settings {
   char node[TMX_NAME_MAX], zone[TMX_NAME_MAX], listen[TMX_NAME_MAX], peer_listen[TMX_NAME_MAX];
--- a/src/controller.c
+++ b/src/controller.c
@@ -29,9 +29,8 @@
   }
   return g;
 }
-int tmx_retry_after(void) {
-  return TMX_RETRY_AFTER_MIN + (int)gsl_rng_uniform_int(rng(), TMX_RETRY_AFTER_SPAN);
-}
+int tmx_random_below(int n) { return (int)gsl_rng_uniform_int(rng(), (unsigned long)n); }
+int tmx_retry_after(void) { return TMX_RETRY_AFTER_MIN + tmx_random_below(TMX_RETRY_AFTER_SPAN); }
 
 /* ------------------------------------------------------------ entitlement */
 
@@ -265,6 +264,7 @@
   tmx_fold_tick(c->fold);
   tmx_cloud_tick(c->cloud);
   tmx_workers_tick(c->workers);
+  tmx_gate_tick(c->gate);
 }
 
 /* ------------------------------------------------------------ requests */
@@ -298,6 +298,7 @@
   c->rep.on_view = on_view;
   c->rep.on_clear = on_clear;
   c->started_at = tmx_now();
+  c->gate = tmx_gate_new(c);
   c->workers = tmx_workers_new(c);
   c->users = tmx_users_new(c);
   c->peers = tmx_peers_new(c);
@@ -337,5 +338,6 @@
   c->rep.on_clear = NULL;
   tmx_replica_clear(&c->rep);
   tmx_rounds_free(c->rounds);
+  tmx_gate_free(c->gate);
   free(c);
 }
--- a/src/controller.h
+++ b/src/controller.h
@@ -3,6 +3,7 @@
 #define TMX_CONTROLLER_H
 #include <ev.h>
 
+#include "admission/gate.h"
 #include "config/settings.h"
 #include "core/outlook.h"
 #include "core/plan.h"
@@ -29,6 +30,7 @@
   struct tmx_server *server;
   struct tmx_rounds *rounds;
   struct tmx_fold *fold;
+  struct tmx_gate *gate; /* NULL: every submission that can run is admitted */
   ev_timer tick;
   ev_prepare prepare;
   bool view_busy;
@@ -51,6 +53,7 @@
 /* Takes machines over from owners that they cannot reach. */
 void tmx_ctl_take(struct tmx_ctl *c, const char *const *machines, size_t n);
 int tmx_retry_after(void);
+int tmx_random_below(int n); /* 0 to n - 1 */
 
 /* src/rounds: rounds of placing, and the batches that they write */
 struct tmx_rounds *tmx_rounds_new(struct tmx_ctl *c);
@@ -64,7 +67,9 @@
 void tmx_rounds_reset(struct tmx_rounds *p);
 /* A line for the log, kept until it is committed: a machine to be returned, or gone by proof. */
 void tmx_rounds_line(struct tmx_rounds *p, const char *line);
-/* A submission for the log; cb(arg, TMX_TXN_*): committed, known already, refused or unknown. */
+/* A submission for the log; cb(arg, TMX_TXN_*): committed, known already, refused or unknown;
+ * or TMX_ARRIVAL_OVERLOAD: not sent, as its team or class had no room by then. */
+enum { TMX_ARRIVAL_OVERLOAD = TMX_TXN_UNKNOWN + 1 };
 typedef void (*tmx_arrival_cb)(void *arg, int result);
 enum tmx_arrival_result {
   TMX_ARRIVAL_TAKEN,
--- a/src/core/model.h
+++ b/src/core/model.h
@@ -17,7 +17,8 @@
 };
 struct pj {
   struct tmx_plan_job r;
-  double order; /* of this round */
+  double order;  /* of this round */
+  uint32_t turn; /* jobs of its account that have waited longer than this one */
   bool guaranteed, listed;
   size_t next_wait;
   uint64_t touched;
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -634,25 +634,32 @@
   }
 }
 
-void tmx_plan(struct tmx_model *md, const struct tmx_round *in, struct tmx_plan_output *out) {
-  struct round r = {.md = md, .in = in, .out = out};
+/* ------------------------------------------------------------ the parts of a round */
+
+static struct pj **sorted_jobs(const struct tmx_model *md,
+                               int (*compare)(const void *, const void *)) {
+  struct pj **jobs = calloc(md->n_open + 1, sizeof *jobs);
+  if (!jobs) abort();
+  for (size_t i = 0; i < md->n_open; i++) jobs[i] = md->open[i];
+  qsort(jobs, md->n_open, sizeof *jobs, compare);
+  return jobs;
+}
+
+/* Machines with room on its way. */
+static void list_stopping(struct round *r) {
+  for (size_t i = 0; i < r->md->cap_m; i++) {
+    const struct pm *p = r->md->m[i];
+    if (!p || p->r.scpus + p->r.smem <= EPS) continue;
+    r->stopping = tmx_grow(r->stopping, &r->cap_stopping, r->n_stopping + 1, sizeof *r->stopping);
+    r->stopping[r->n_stopping++] = (int)i;
+  }
+}
+
+/* Prepares every job for this round. A guarantee covers the team's earliest unfinished jobs. */
+static void prepare_jobs(const struct tmx_round *in, struct pj **by_age, size_t n) {
   struct tmx_usage asked[TMX_TEAMS_MAX] = {{0, 0}};
-  size_t n = md->n_open;
-  memset(out, 0, sizeof *out);
-  memcpy(r.usage, in->usage, sizeof r.usage);
-  md->round++;
-  for (size_t i = 0; i < md->cap_m; i++)
-    if (md->m[i] && md->m[i]->r.scpus + md->m[i]->r.smem > EPS) {
-      r.stopping = tmx_grow(r.stopping, &r.cap_stopping, r.n_stopping + 1, sizeof *r.stopping);
-      r.stopping[r.n_stopping++] = (int)i;
-    }
-  /* a guarantee covers the team's earliest unfinished jobs */
-  struct pj **order = calloc(n + 1, sizeof *order);
-  if (!order) abort();
-  for (size_t i = 0; i < n; i++) order[i] = md->open[i];
-  qsort(order, n, sizeof *order, by_release);
   for (size_t i = 0; i < n; i++) {
-    struct pj *j = order[i];
+    struct pj *j = by_age[i];
     const struct tmx_spec *s = j->r.spec;
     j->next_wait = 0;
     j->order = order_of(in, &j->r);
@@ -665,47 +672,107 @@
     u->gpus += left * s->gpus;
     j->guaranteed = t->cpus > 0 && u->cpus <= t->cpus + EPS && u->gpus <= t->gpus + EPS;
   }
-  struct pj **oldest = calloc(n + 1, sizeof *oldest);
-  if (!oldest) abort();
-  memcpy(oldest, order, n * sizeof *oldest);
-  qsort(order, n, sizeof *order, by_rank);
-  size_t services = 0, n_begin = 0;
-  while (services < n && standing(order[services]) == 2) services++;
-  r.limit = in->max_visits / 2;
-  place_all(&r, order, services, UINT32_MAX, &md->cut_services);
-  /* A bounded wait inside the order: a job that has waited long without a start gets one task, and
-   * a share of the room goes to the jobs that are oldest, however large they are. */
+}
+
+static double waited(const struct round *r, const struct pj *j) {
+  return r->in->wall - j->r.released;
+}
+
+/* One task of the oldest job that finds room, for each account whose turn it is. */
+static uint32_t place_turns(struct round *r, struct pj **by_age, size_t n) {
+  bool served[TMX_TEAMS_MAX][TMX_ACCOUNTS_MAX] = {{false}};
+  uint32_t placed = 0;
+  if (r->in->turns.start_s <= 0) return 0;
+  for (size_t k = 0; k < n && r->visits <= r->limit; k++) {
+    struct pj *j = by_age[k];
+    if (j->r.team < 0 || standing(j) == 2) continue;
+    size_t team = (size_t)j->r.team, account = (size_t)j->r.account;
+    if (served[team][account] || !tmx_turn_due(&r->in->turns, team, account, waited(r, j)))
+      continue;
+    uint32_t got = place(r, j, 1);
+    served[team][account] = got > 0;
+    placed += got;
+  }
+  return placed;
+}
+
+/* Accounts take turns: first the oldest job of each, then the second of each. */
+static int by_turn(const void *a, const void *b) {
+  const struct pj *x = *(struct pj *const *)a, *y = *(struct pj *const *)b;
+  if (x->turn != y->turn) return x->turn < y->turn ? -1 : 1;
+  return by_release(a, b);
+}
+
+static void order_by_turn(const struct round *r, struct pj **jobs, size_t n) {
+  uint32_t of_account[TMX_TEAMS_MAX][TMX_ACCOUNTS_MAX] = {{0}};
+  if (r->in->turns.start_s <= 0) return;
+  for (size_t i = 0; i < n; i++)
+    jobs[i]->turn = jobs[i]->r.team < 0 ? 0 : of_account[jobs[i]->r.team][jobs[i]->r.account]++;
+  qsort(jobs, n, sizeof *jobs, by_turn);
+}
+
+/* A bounded wait inside the order: a job that has waited long without a start gets one task ... */
+static void place_first_tasks(struct round *r, struct pj **by_age, size_t n) {
   struct pj **begin = calloc(n + 1, sizeof *begin);
+  size_t n_begin = 0;
   if (!begin) abort();
   for (size_t k = 0; k < n; k++) {
-    struct pj *j = oldest[k];
-    double waited = in->wall - j->r.released;
-    if (waited < TMX_BEGIN_S || standing(j) == 2) continue;
+    struct pj *j = by_age[k];
+    if (waited(r, j) < TMX_BEGIN_S || standing(j) == 2) continue;
     if (!j->r.n_done && !j->r.n_placed) begin[n_begin++] = j;
   }
-  r.limit = r.visits + (in->max_visits - r.limit) / 2;
-  uint32_t lane = 0;
-  place_all(&r, begin, n_begin, 1, &md->cut_oldest);
+  order_by_turn(r, begin, n_begin);
+  place_all(r, begin, n_begin, 1, &r->md->cut_oldest);
   free(begin);
-  for (size_t k = 0; k < n && md->lane_credit >= 1 && r.visits <= r.limit; k++) {
-    struct pj *j = oldest[k];
-    if (in->wall - j->r.released < TMX_BEGIN_S || standing(j) == 2) continue;
-    uint32_t got = place(&r, j, (uint32_t)md->lane_credit);
+}
+
+/* ... and a share of the room goes to the jobs that are oldest, however large they are. */
+static uint32_t place_lane(struct round *r, struct pj **by_age, size_t n) {
+  struct tmx_model *md = r->md;
+  uint32_t placed = 0;
+  for (size_t k = 0; k < n && md->lane_credit >= 1 && r->visits <= r->limit; k++) {
+    struct pj *j = by_age[k];
+    if (waited(r, j) < TMX_BEGIN_S || standing(j) == 2) continue;
+    uint32_t got = place(r, j, (uint32_t)md->lane_credit);
     md->lane_credit -= got;
-    lane += got;
+    placed += got;
   }
+  return placed;
+}
+
+static void end_round(struct round *r) {
+  take_back(r);
+  r->out->visits = r->visits;
+  for (int k = 0; k < SETS; k++)
+    for (size_t z = 0; z < TMX_ZONES_MAX; z++) free(r->sets[k].zone[z].c);
+  free(r->undo);
+  free(r->undo_j);
+  free(r->marks);
+  free(r->stopping);
+}
+
+void tmx_plan(struct tmx_model *md, const struct tmx_round *in, struct tmx_plan_output *out) {
+  struct round r = {.md = md, .in = in, .out = out};
+  size_t n = md->n_open, services = 0;
+  memset(out, 0, sizeof *out);
+  memcpy(r.usage, in->usage, sizeof r.usage);
+  md->round++;
+  list_stopping(&r);
+  struct pj **by_age = sorted_jobs(md, by_release);
+  prepare_jobs(in, by_age, n);
+  struct pj **order = sorted_jobs(md, by_rank);
+  while (services < n && standing(order[services]) == 2) services++;
+  r.limit = in->max_visits / 2;
+  place_all(&r, order, services, UINT32_MAX, &md->cut_services);
+  r.limit = r.visits + (in->max_visits - r.limit) / 2;
+  uint32_t aside = place_turns(&r, by_age, n);
+  place_first_tasks(&r, by_age, n);
+  aside += place_lane(&r, by_age, n);
   r.limit = in->max_visits;
   uint32_t rest = place_all(&r, order + services, n - services, UINT32_MAX, &md->cut_arrays);
-  md->lane_credit = fmin(md->lane_credit + TMX_LANE_SHARE * (rest + lane), TMX_PLAN_TASKS);
+  md->lane_credit = fmin(md->lane_credit + TMX_LANE_SHARE * (rest + aside), TMX_PLAN_TASKS);
   if (in->leading && !out->unplaced && !out->cut) move_services(&r);
-  take_back(&r);
-  out->visits = r.visits;
-  for (int k = 0; k < SETS; k++)
-    for (size_t z = 0; z < TMX_ZONES_MAX; z++) free(r.sets[k].zone[z].c);
-  free(r.undo);
-  free(r.undo_j);
-  free(r.marks);
-  free(r.stopping);
+  end_round(&r);
   free(order);
-  free(oldest);
+  free(by_age);
 }
--- a/src/core/plan.h
+++ b/src/core/plan.h
@@ -3,6 +3,7 @@
  * since only what is committed comes back in the next feed. */
 #ifndef TMX_PLAN_H
 #define TMX_PLAN_H
+#include "admission/turns.h"
 #include "state/replica.h"
 
 struct tmx_plan_task { /* placed on a machine */
@@ -34,7 +35,8 @@
   int slot;
   char id[TMX_ID_MAX];
   struct tmx_spec *spec; /* taken over; NULL: as before */
-  int team, planner;     /* member index */
+  int team, planner;     /* index among the teams; member index */
+  int account;           /* of its class within the team, see src/admission */
   int priority;          /* its own, or that of a job that needs it */
   int zone;              /* the only one allowed; -1: any */
   double released;       /* time of day, s: it could have begun since; its waits count from here */
@@ -68,6 +70,7 @@
   struct tmx_team_conf teams[TMX_TEAMS_MAX];
   size_t n_teams, max_ops;
   size_t max_visits; /* machines and tasks looked at */
+  struct tmx_turns turns;
 };
 struct tmx_plan_output {
   struct tmx_op *ops;
--- a/src/main.c
+++ b/src/main.c
@@ -3,11 +3,28 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "admission/admission.h"
 #include "controller.h"
 #include "net/log.h"
 
 #define EXIT_SETTINGS 2
 
+static void on_report_signal(struct ev_loop *loop, ev_signal *watcher, int events) {
+  (void)loop;
+  (void)events;
+  const struct tmx_ctl *c = watcher->data;
+  tmx_gate_report(c->gate);
+}
+
+/* SIGUSR1 writes the accounts of admission to the log. */
+static void report_on_signal(struct ev_loop *loop, struct tmx_ctl *c) {
+  static ev_signal watcher;
+  if (!c->gate) return;
+  ev_signal_init(&watcher, on_report_signal, SIGUSR1);
+  watcher.data = c;
+  ev_signal_start(loop, &watcher);
+}
+
 int main(int argc, const char **argv) {
   char *conf = NULL, *op = NULL;
   int check = 0, version = 0, rc;
@@ -41,7 +58,8 @@
   static struct tmx_settings set;
   char err[1024];
   if (!tmx_settings_load(&set, conf, err, sizeof err) ||
-      (op && !tmx_operator_load(&set.op, op, err, sizeof err))) {
+      (op && !tmx_operator_load(&set.op, op, err, sizeof err)) ||
+      !tmx_admission_resolve(&set, err, sizeof err)) {
     fprintf(stderr, "tallymux: %s\n", err);
     return EXIT_SETTINGS;
   }
@@ -58,6 +76,7 @@
     fprintf(stderr, "tallymux: %s\n", loop ? err : "no event loop");
     return EXIT_SETTINGS;
   }
+  report_on_signal(loop, c);
   tmx_log(TMX_INFO, "tallymux %s serves %s", TMX_VERSION, set.listen);
   ev_run(loop, 0);
   return 0;
--- a/src/rounds/commit.c
+++ b/src/rounds/commit.c
@@ -191,7 +191,7 @@
   p->sent_head = c->rep.head;
   p->sending = tmx_link_commit(c->link, &d->b.t, true, on_batch, p);
   if (p->sending) return;
-  for (size_t i = 0; i < p->n_arrivals; i++) p->arrivals[i]->sent = false;
+  tmx_submissions_answer(p, TMX_TXN_CONFLICT); /* not sent: as if something else had won */
   tmx_round_over(p);
   tmx_rounds_kick_in(c, TMX_STATE_RETRY_S);
 }
--- a/src/rounds/feed.c
+++ b/src/rounds/feed.c
@@ -109,6 +109,7 @@
   }
   f->zone = j->spec.zone[0] ? tmx_zone_index(&c->set, j->spec.zone) : -1;
   f->team = j->team;
+  f->account = j->account;
   f->planner = tmx_planner_index(&c->rep, j->id);
   f->priority = j->urgency.priority;
   f->released = j->released;
@@ -153,6 +154,7 @@
   in->n_zones = c->set.n_zones;
   in->grace = TMX_LEADER_GRACE_S;
   if (!tmx_link_rich(c->link)) in->grace += tmx_turn_length(c) * (double)(r->view.n_members + 1);
+  tmx_turns_fill(&in->turns, r->backlog, &c->set, in->now);
   in->n_teams = c->set.n_teams;
   memcpy(in->teams, c->set.teams, sizeof in->teams);
   memcpy(in->usage, r->usage, sizeof in->usage);
--- a/src/rounds/internal.h
+++ b/src/rounds/internal.h
@@ -26,6 +26,7 @@
   uint32_t in_record; /* ... follow from here on */
   size_t json;        /* length of the record as JSON */
   int values;         /* keys that record and lines take; 1: it may go out by itself */
+  struct tmx_candidate candidate; /* what admission judges */
   double until;
   tmx_arrival_cb cb;
   void *arg;
--- a/src/rounds/submissions.c
+++ b/src/rounds/submissions.c
@@ -17,6 +17,7 @@
   if (!a->answered) a->cb(a->arg, res);
   a->answered = true;
   if (a->direct) return; /* goes with the answer to its commit */
+  if (a->sent) tmx_gate_release(p->c->gate, &a->candidate);
   p->arrivals[i] = p->arrivals[--p->n_arrivals];
   tmx_submission_free(a);
 }
@@ -67,19 +68,37 @@
   }
 }
 
-/* In a value they come before the lines, so they are the first to go in. */
+/* The judgement that counts: on the replica whose head is the commit's condition. */
+static bool admitted(const struct tmx_rounds *p, struct tmx_arrival *a) {
+  return tmx_gate_judge(p->c->gate, &a->candidate, &a->awaits).verdict == TMX_ADMITTED;
+}
+
+static void refuse_overload(struct tmx_rounds *p) {
+  for (size_t i = 0; i < p->n_arrivals;) {
+    struct tmx_arrival *a = p->arrivals[i];
+    size_t n = p->n_arrivals;
+    if (!a->direct && !a->sent && !a->answered && !admitted(p, a))
+      settle_arrival(p, i, TMX_ARRIVAL_OVERLOAD);
+    i += p->n_arrivals == n;
+  }
+}
+
+/* In a value they come before the lines, so they are the first to go in. Those for which admission
+ * has no room beside the others wait for the next batch, which judges them anew. */
 void tmx_submissions_add(struct tmx_rounds *p, struct tmx_batch *b) {
   bool full = false;
   int conds =
       p->c->set.txn_ops * 3; /* PROTOCOL allows four times as many; finished jobs need some */
   sort_arrivals(p);
+  refuse_overload(p);
   for (size_t i = 0; i < p->n_arrivals; i++) {
     struct tmx_arrival *a = p->arrivals[i];
     if (a->direct || a->answered) continue;
     full = full || b->t.n_conds >= conds || !has_room(b, a);
-    a->sent = !full;
+    a->sent = !full && admitted(p, a);
     a->sent_at = tmx_now();
-    if (full) continue;
+    if (!a->sent) continue;
+    tmx_gate_hold(p->c->gate, &a->candidate);
     condition(&b->t, a->id);
     add_arrival(b, a);
   }
@@ -90,6 +109,7 @@
     struct tmx_arrival *a = p->arrivals[i];
     bool sent = a->sent;
     a->sent = false;
+    if (sent) tmx_gate_release(p->c->gate, &a->candidate);
     if (sent && res != TMX_TXN_CONFLICT)
       settle_arrival(p, i, res);
     else
@@ -101,6 +121,7 @@
   struct tmx_arrival *a = arg;
   struct tmx_rounds *p = a->p;
   a->direct = false;
+  tmx_gate_release(p->c->gate, &a->candidate);
   if (res == TMX_TXN_CONFLICT && !a->answered) { /* again once the replica has what won */
     a->tries++;
     if (rev > p->wait_rev) p->wait_rev = rev;
@@ -146,6 +167,7 @@
   if (!a->awaits.ids) abort();
   if (s->awaits.n) memcpy(a->awaits.ids, s->awaits.ids, s->awaits.n * sizeof *s->awaits.ids);
   a->values = values_of(&p->c->set, a);
+  a->candidate = tmx_gate_candidate(p->c->gate, &s->spec, tmx_team_index(&p->c->set, s->spec.team));
   a->p = p;
   return a;
 }
@@ -170,6 +192,25 @@
   return TMX_ARRIVAL_TAKEN;
 }
 
+static void send_alone(struct tmx_rounds *p, struct tmx_arrival *a) {
+  struct tmx_ctl *c = p->c;
+  struct tmx_txn t = {0};
+  char key[TMX_KEY_MAX + 1];
+  snprintf(key, sizeof key, TMX_K_JOB "%s", a->id);
+  tmx_txn_if(&t, TMX_K_HEAD, c->rep.head);
+  condition(&t, a->id);
+  tmx_txn_put(&t, key, &a->value, 0);
+  a->sent_at = tmx_now();
+  a->direct = tmx_link_commit(c->link, &t, true, on_direct, a);
+  if (a->direct) tmx_gate_hold(c->gate, &a->candidate);
+}
+
+static bool may_go_alone(const struct tmx_rounds *p, struct tmx_arrival *a) {
+  if (a->direct || a->sent || a->values > 1 || a->tries >= TMX_DIRECT_TRIES) return false;
+  if (!tmx_gate_may_go_alone(p->c->gate, &a->candidate) || !admitted(p, a)) return false;
+  return tmx_link_submit(p->c->link);
+}
+
 /* A few submissions go out at once, each as a put; when there are many, or puts are short, they
  * wait for the next batch, which holds dozens in one. */
 void tmx_rounds_flush(struct tmx_rounds *p) {
@@ -185,17 +226,8 @@
   if (idle <= TMX_DIRECT_MAX && c->rep.loaded && decided && tmx_rounds_caught_up(p)) {
     for (size_t i = 0; i < p->n_arrivals; i++) {
       struct tmx_arrival *a = p->arrivals[i];
-      if (a->direct || a->sent || a->values > 1 || a->tries >= TMX_DIRECT_TRIES ||
-          !tmx_link_submit(c->link))
-        continue;
-      struct tmx_txn t = {0};
-      char key[TMX_KEY_MAX + 1];
-      snprintf(key, sizeof key, TMX_K_JOB "%s", a->id);
-      tmx_txn_if(&t, TMX_K_HEAD, c->rep.head);
-      condition(&t, a->id);
-      tmx_txn_put(&t, key, &a->value, 0);
-      a->sent_at = tmx_now();
-      a->direct = tmx_link_commit(c->link, &t, true, on_direct, a);
+      if (!may_go_alone(p, a)) continue;
+      send_alone(p, a);
       idle -= a->direct;
     }
   }
--- a/src/state/replica.c
+++ b/src/state/replica.c
@@ -67,6 +67,8 @@
   r->n_wrote = 0;
   memset(&r->view, 0, sizeof r->view);
   memset(r->usage, 0, sizeof r->usage);
+  r->n_types = 0;
+  if (r->backlog) tmx_backlog_init(r->backlog, r->set);
   r->booked = r->asked = 0;
   r->n_nodes = 0;
   r->leader[0] = 0;
@@ -174,6 +176,7 @@
 }
 static void job_touched(struct tmx_replica *r, struct tmx_job *j) {
   count_asked(r, j);
+  if (r->backlog) tmx_backlog_update(r->backlog, j);
   bool waits = !j->fin && !tmx_job_blocked(j) && j->spec.tasks > j->n_done + j->n_placed;
   if (!waits)
     j->stuck_since = 0;
@@ -304,6 +307,14 @@
   m->images[0].since = since;
 }
 
+/* For the order of the rounds, and for the distribution of waits. */
+static void note_start(struct tmx_replica *r, struct tmx_job *j) {
+  if (!r->backlog || !r->loaded || j->team < 0) return;
+  if (j->charged) r->backlog->accounts[j->team][j->account].started_at = r->now;
+  if (!j->begun && r->on_begin) r->on_begin(r->arg, j);
+  j->begun = true;
+}
+
 static void apply_op(struct tmx_replica *r, const struct tmx_op *o) {
   struct tmx_job *j = tmx_job_find(r, o->job);
   if (!j || o->task >= j->spec.tasks || !j->tasks) return;
@@ -325,6 +336,7 @@
     touched(r, t->machine);
     j->stuck_since = r->now;
     job_touched(r, j);
+    note_start(r, j);
     if (r->loaded && !t->machine->known) unplace(r, t);
     return;
   }
@@ -493,6 +505,19 @@
   return 1 + (size_t)(r->set->ram_mb * TMX_BYTES_PER_MB * TMX_GONE_SHARE / TMX_GONE_BYTES);
 }
 
+static void count_type(struct tmx_replica *r, const struct tmx_machine *m, int sign) {
+  size_t i;
+  for (i = 0; i < r->n_types; i++)
+    if (!strcmp(r->types[i].type, m->type)) break;
+  if (i == TMX_TYPES_MAX) return;
+  if (i == r->n_types) {
+    r->n_types++;
+    r->types[i].machines = 0;
+    memcpy(r->types[i].type, m->type, sizeof m->type);
+  }
+  r->types[i].machines += (uint32_t)sign;
+}
+
 static void apply_machine(struct tmx_replica *r, char *line) {
   char *f[7], kind = line[0];
   size_t n = tmx_line_fields(line, f, 7);
@@ -501,6 +526,7 @@
   if (kind == TMX_LINE_MACHINE) {
     if (n != 7 || strlen(f[2]) >= TMX_NAME_MAX || strlen(f[3]) >= TMX_ID_MAX) return;
     struct tmx_machine *m = machine_make(r, id);
+    if (m->known) count_type(r, m, -1);
     snprintf(m->addr, sizeof m->addr, "%s", f[2]);
     snprintf(m->type, sizeof m->type, "%s", f[3]);
     set_zone(m, tmx_zone_index(r->set, f[4]));
@@ -508,6 +534,7 @@
     m->spot = f[5][0] != '0';
     m->drain = f[6][0] != '0';
     m->known = true;
+    count_type(r, m, 1);
     touched(r, m);
   } else if (kind == TMX_LINE_DRAIN) {
     struct tmx_machine *m = tmx_machine_find(r, id);
@@ -519,6 +546,7 @@
     keep_key(&r->gone, id, 1, true);
     struct tmx_machine *m = tmx_machine_find(r, id);
     if (!m) return;
+    if (m->known) count_type(r, m, -1);
     m->known = false;
     if (!r->loaded) return; /* what was on it is settled once loading is complete */
     machine_lost(r, m);
@@ -735,6 +763,7 @@
   HASH_ITER(hh, r->jobs, j, jt) {
     j->asked = 0;
     count_asked(r, j); /* pages count results without a word */
+    if (r->backlog) tmx_backlog_update(r->backlog, j);
     release(r, j);
   }
   tmx_depend_loaded(r);
--- a/src/state/replica.h
+++ b/src/state/replica.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 #include <uthash.h>
 
+#include "admission/backlog.h"
 #include "config/settings.h"
 #include "net/cbor.h"
 #include "state/depend.h"
@@ -76,9 +77,12 @@
   double fin_after;   /* steady clock, s: its final state was committed after this; 0: not known */
   double stuck_since; /* steady clock, s: tasks wait, and none was placed, since; 0: none waits */
   double asked;       /* CPUs of its tasks that wait, as counted in the replica's */
-  double answered_at; /* steady clock, s: a user was last told of it here */
-  double longest;     /* s: the longest run of a task that was seen to its end */
-  uint32_t fails;     /* errors in a row */
+  struct tmx_load load; /* what is left of it, as counted in its account */
+  int account;          /* of its class within the team; valid while charged */
+  bool charged, begun;  /* it counts as open in its account; a task of it was seen placed here */
+  double answered_at;   /* steady clock, s: a user was last told of it here */
+  double longest;       /* s: the longest run of a task that was seen to its end */
+  uint32_t fails;       /* errors in a row */
   double retry_at;
   uint32_t n_ending; /* of the batch being made: tasks that end as done */
   int slot;          /* its place in the planner's tables */
@@ -150,6 +154,10 @@
 struct tmx_usage {
   double cpus, gpus;
 };
+struct tmx_type_count { /* machines that are registered and not gone */
+  char type[TMX_ID_MAX];
+  uint32_t machines;
+};
 
 struct tmx_replica {
   const struct tmx_settings *set;
@@ -182,8 +190,11 @@
   size_t n_classes;
   struct tmx_image_name *images; /* names are compared once: numbers from here on */
   struct tmx_usage usage[TMX_TEAMS_MAX];
-  double booked, asked; /* CPUs of all that is placed, and of all that waits */
-  double now;           /* steady clock at the latest event, set by the caller */
+  struct tmx_type_count types[TMX_TYPES_MAX];
+  size_t n_types;
+  struct tmx_backlog *backlog; /* NULL: no admission */
+  double booked, asked;        /* CPUs of all that is placed, and of all that waits */
+  double now;                  /* steady clock at the latest event, set by the caller */
   double sure_at; /* ... when a read began of whose revision the copy has all; set by the caller */
   /* told of what changed; may be NULL */
   void *arg;
@@ -191,6 +202,7 @@
   void (*on_gone)(void *arg, struct tmx_machine *m);    /* its key was dropped */
   void (*on_change)(void *arg);                         /* something worth a round */
   void (*on_job)(void *arg, struct tmx_job *j);         /* what the planner knows of it changed */
+  void (*on_begin)(void *arg, struct tmx_job *j);       /* its first task was placed */
   void (*on_view)(void *arg);                           /* owners may differ */
   void (*on_clear)(void *arg);                          /* all is forgotten: read anew */
 };
--- a/src/user/user.c
+++ b/src/user/user.c
@@ -20,9 +20,13 @@
   struct tmx_req *req;
   enum kind kind;
   char id[TMX_ID_MAX];
-  int otherwise; /* status for an unknown job */
+  int otherwise;                  /* status for an unknown job */
+  bool overload;                  /* ... which is refused, as its team or class has no room */
+  struct tmx_candidate candidate; /* ASK_SUBMIT: what admission judges */
+  struct tmx_ruling ruling;       /* overload: the latest one */
   int tries;
   double since, until;
+  bool names_unknown;                /* ASK_SUBMIT: a job that it awaits is not known here */
   bool through_cancelled;            /* ASK_SUBMIT: it names a cancelled job */
   struct tmx_submission *submission; /* ASK_SUBMIT: judged anew once the state was read */
 };
@@ -80,6 +84,14 @@
   free(a);
 }
 
+static void refuse_overload(struct ask *a) {
+  if (tmx_log_on(TMX_DEBUG))
+    tmx_log(TMX_DEBUG, "user: %s refused for now: backlog %.1f s of %.1f s", a->id,
+            a->ruling.backlog_s, a->ruling.ceiling_s);
+  tmx_gate_told(a->u->c->gate, &a->candidate, a->ruling.verdict);
+  tmx_req_reply(a->req, 503, NULL, tmx_gate_retry_after(&a->ruling));
+}
+
 static void on_confirm(void *arg, bool ok) {
   struct ask *a = arg;
   struct tmx_job *j = ok ? tmx_job_find(&a->u->c->rep, a->id) : NULL;
@@ -88,7 +100,9 @@
   else if (!j && a->submission) {
     submit_step(a);
     return;
-  } else if (!j)
+  } else if (!j && a->overload)
+    refuse_overload(a);
+  else if (!j)
     tmx_req_reply(a->req, a->otherwise, NULL, a->otherwise == 503 ? tmx_retry_after() : 0);
   else if (a->kind == ASK_CANCEL && !j->fin) {
     cancel_step(a);
@@ -102,30 +116,26 @@
 
 /* Waits until the replica holds all that was committed before this request came. A submission that
  * is handed over is judged then, if nobody has submitted the job meanwhile. */
-static void ask(struct tmx_users *u, struct tmx_req *q, enum kind kind, const char *id,
-                int otherwise, struct tmx_submission *submission) {
+static void ask(struct tmx_users *u, struct tmx_req *q, const struct ask *what) {
   /* Where the state is out of reach nothing can be decided: the sender goes elsewhere at once. When
    * more ask than can be answered, those go first of whose job nobody was told here of late, so
    * that none stays without an answer however many others ask. */
-  const struct tmx_job *j = tmx_job_find(&u->c->rep, id);
-  bool late = kind != ASK_POLL || (j && tmx_now() - j->answered_at > TMX_POLL_FAIR_S);
+  const struct tmx_job *j = tmx_job_find(&u->c->rep, what->id);
+  bool late = what->kind != ASK_POLL || (j && tmx_now() - j->answered_at > TMX_POLL_FAIR_S);
   struct ask *a = calloc(1, sizeof *a);
   if (!a || !tmx_link_served(u->c->link) ||
       u->waiting >= (late ? TMX_USER_QUEUE : TMX_USER_QUEUE / 2)) {
     free(a);
-    free_submission(submission);
+    free_submission(what->submission);
     refuse(q, tmx_link_served(u->c->link) ? "too many wait" : "no state");
     return;
   }
-  double within = kind == ASK_POLL ? TMX_USER_WAIT_S : TMX_SUBMIT_WAIT_S;
+  double within = what->kind == ASK_POLL ? TMX_USER_WAIT_S : TMX_SUBMIT_WAIT_S;
+  *a = *what;
   a->u = u;
   a->req = q;
-  a->kind = kind;
-  a->otherwise = otherwise;
   a->since = tmx_now();
-  a->submission = submission;
   a->until = tmx_now() + within;
-  snprintf(a->id, sizeof a->id, "%s", id);
   u->waiting++;
   if (!tmx_link_confirm(u->c->link, within, on_confirm, a)) {
     refuse(q, "too many wait for the state");
@@ -172,13 +182,27 @@
 
 /* ------------------------------------------------------------ submissions */
 
+/* Its team or class has no room. One that was accepted elsewhere is answered as such all the same:
+ * the state is read before it is refused. */
+static void look_up_or_refuse(struct ask *a) {
+  static const struct tmx_awaits none;
+  a->ruling = tmx_gate_judge(a->u->c->gate, &a->candidate, &none);
+  a->overload = true;
+  if (tmx_link_confirm(a->u->c->link, TMX_SUBMIT_WAIT_S, on_confirm, a)) return;
+  refuse_overload(a);
+  done(a);
+}
+
 static void on_submitted(void *arg, int res) {
   struct ask *a = arg;
   if (res == TMX_TXN_OK) {
     if (tmx_log_on(TMX_DEBUG))
       tmx_log(TMX_DEBUG, "job: %s accepted in %.0f ms", a->id, (tmx_now() - a->since) * 1000);
     answer_named(a->req, 201, a->id, a->through_cancelled ? WV_CANCELLED : WV_PENDING, NULL);
+    tmx_gate_told(a->u->c->gate, &a->candidate, TMX_ADMITTED);
     done(a);
+  } else if (res == TMX_ARRIVAL_OVERLOAD) {
+    look_up_or_refuse(a);
   } else if (res == TMX_TXN_CONFLICT && /* known already: its state is read first */
              tmx_link_confirm(a->u->c->link, TMX_SUBMIT_WAIT_S, on_confirm, a)) {
     a->otherwise = 503;
@@ -289,6 +313,24 @@
   return named;
 }
 
+/* What is known of a submission before the state is asked. */
+static struct ask first_look(struct tmx_ctl *c, struct tmx_submission *s, bool whole,
+                             const struct tmx_job *known) {
+  struct ask look = {.kind = ASK_SUBMIT, .submission = s};
+  memcpy(look.id, s->id, sizeof look.id);
+  look.otherwise = known ? 503 : whole ? judge(c, &s->spec) : 400;
+  if (look.otherwise) return look;
+  look.candidate = tmx_gate_candidate(c->gate, &s->spec, tmx_team_index(&c->set, s->spec.team));
+  enum awaits_verdict awaits = judge_awaits(&c->rep, s);
+  look.names_unknown = awaits == AWAITS_UNKNOWN;
+  if (awaits == AWAITS_NEVER) look.otherwise = 422;
+  if (awaits != AWAITS_OK) return look;
+  look.ruling = tmx_gate_judge(c->gate, &look.candidate, &s->awaits);
+  look.overload = look.ruling.verdict != TMX_ADMITTED;
+  if (look.overload) look.otherwise = 503;
+  return look;
+}
+
 static void submit(struct tmx_users *u, struct tmx_req *q) {
   struct tmx_ctl *c = u->c;
   struct tmx_submission *s = calloc(1, sizeof *s);
@@ -311,29 +353,32 @@
     answer_job(q, j);
     return;
   }
-  int verdict = j ? 503 : whole ? judge(c, &s->spec) : 400;
-  enum awaits_verdict awaits = verdict ? AWAITS_OK : judge_awaits(&c->rep, s);
-  if (awaits == AWAITS_NEVER) verdict = 422;
   s->submitted = tmx_wall();
-  if (verdict || awaits == AWAITS_UNKNOWN) {
-    char id[TMX_ID_MAX];
-    memcpy(id, s->id, sizeof id);
-    if (verdict) free_submission(s);
-    ask(u, q, ASK_SUBMIT, id, verdict, verdict ? NULL : s);
+  struct ask look = first_look(c, s, whole, j);
+  if (look.otherwise) {
+    free_submission(s);
+    look.submission = NULL;
+  }
+  if (look.otherwise || look.names_unknown) {
+    ask(u, q, &look);
     return;
   }
-  struct ask *a = calloc(1, sizeof *a);
+  struct ask *a = malloc(sizeof *a);
   if (!a) abort();
+  *a = look;
   a->u = u;
   a->req = q;
-  a->kind = ASK_SUBMIT;
   a->since = tmx_now();
-  a->submission = s;
-  memcpy(a->id, s->id, sizeof a->id);
   u->waiting++;
   send_arrival(a);
 }
 
+static void ask_about(struct tmx_users *u, struct tmx_req *q, enum kind kind, const char *id) {
+  struct ask what = {.kind = kind, .otherwise = 404};
+  snprintf(what.id, sizeof what.id, "%.*s", TMX_ID_MAX - 1, id);
+  ask(u, q, &what);
+}
+
 bool tmx_users_handle(struct tmx_users *u, struct tmx_req *q) {
   static const char base[] = WP_JOBS;
   char id[TMX_PATH_MAX];
@@ -372,6 +417,6 @@
   else if (j && j->fin)
     answer_job(q, j); /* a final state never changes: no read is needed */
   else
-    ask(u, q, cancel ? ASK_CANCEL : ASK_POLL, id, 404, NULL);
+    ask_about(u, q, cancel ? ASK_CANCEL : ASK_POLL, id);
   return true;
 }
--- a/tests/fake.c
+++ b/tests/fake.c
@@ -16,6 +16,7 @@
 struct fake_state state;
 struct fake_cloud cloud;
 bool fake_apart;
+void (*fake_adjust)(struct tmx_settings *s);
 static int ports[FAKE_NODES][2]; /* port, and the socket that reserves it */
 
 /* ------------------------------------------------------------ running the loop */
@@ -712,18 +713,24 @@
 
 void submission_awaiting(struct tmx_buf *b, const char *id, const char *kind, uint32_t tasks,
                          double cpus, const char *team, const struct tmx_buf *awaits) {
-  tmx_w_map(b, awaits ? 18 : 17);
-  if (awaits) {
+  struct fake_job job = {
+      .id = id, .kind = kind, .team = team, .tasks = tasks, .cpus = cpus, .awaits = awaits};
+  submission_of(b, &job);
+}
+
+void submission_of(struct tmx_buf *b, const struct fake_job *job) {
+  tmx_w_map(b, job->awaits ? 18 : 17);
+  if (job->awaits) {
     tmx_w_str(b, W_AWAITS);
-    tmx_buf_add(b, awaits->p, awaits->n);
+    tmx_buf_add(b, job->awaits->p, job->awaits->n);
   }
-  tmx_w_kstr(b, W_ID, id);
-  tmx_w_kstr(b, W_CLASS, "c");
-  tmx_w_kstr(b, W_TEAM, team);
-  tmx_w_kstr(b, W_KIND, kind);
+  tmx_w_kstr(b, W_ID, job->id);
+  tmx_w_kstr(b, W_CLASS, job->class ? job->class : "c");
+  tmx_w_kstr(b, W_TEAM, job->team);
+  tmx_w_kstr(b, W_KIND, job->kind ? job->kind : WV_ARRAY);
   tmx_w_kstr(b, W_PRIORITY, "normal");
-  tmx_w_ku64(b, W_TASKS, tasks);
-  tmx_w_knum(b, W_CPUS, cpus);
+  tmx_w_ku64(b, W_TASKS, job->tasks);
+  tmx_w_knum(b, W_CPUS, job->cpus);
   tmx_w_knum(b, W_GPUS, 0);
   tmx_w_knum(b, W_MEM, 1);
   tmx_w_kbool(b, W_ONE_ZONE, false);
@@ -731,19 +738,24 @@
   tmx_w_kbool(b, W_SPOT, false);
   tmx_w_kstr(b, W_IMAGE, "img");
   tmx_w_knum(b, W_IMAGE_GB, 0.1);
-  tmx_w_knum(b, W_ESTIMATE, 10);
+  tmx_w_knum(b, W_ESTIMATE, job->estimate_s > 0 ? job->estimate_s : 10);
   tmx_w_knum(b, W_CHECKPOINT, 0);
   tmx_w_knum(b, W_SAVE, 0);
 }
 
-int submit(struct tmx_ctl *c, const char *id, const char *kind, uint32_t tasks, double cpus,
-           const char *team) {
+int submit_job(struct tmx_ctl *c, const struct fake_job *job) {
   struct tmx_buf b = {0};
-  submission(&b, id, kind, tasks, cpus, team);
+  submission_of(&b, job);
   struct fake_answer a = call(c, "POST", WP_JOBS, &b);
   tmx_buf_free(&b);
   return a.status;
 }
+
+int submit(struct tmx_ctl *c, const char *id, const char *kind, uint32_t tasks, double cpus,
+           const char *team) {
+  struct fake_job job = {.id = id, .kind = kind, .team = team, .tasks = tasks, .cpus = cpus};
+  return submit_job(c, &job);
+}
 struct fake_answer poll_job(struct tmx_ctl *c, const char *id) {
   char path[128];
   snprintf(path, sizeof path, WP_JOBS "/%s", id);
@@ -818,6 +830,7 @@
   static struct tmx_settings s;
   char err[256];
   fake_settings(&s, k, of);
+  if (fake_adjust) fake_adjust(&s);
   struct tmx_ctl *c = tmx_ctl_new(loop, &s, err, sizeof err);
   if (!c) fail_msg("%s", err);
   assert_null(running[k]);
@@ -830,6 +843,13 @@
   tmx_ctl_free(c);
 }
 
+bool fake_ready(void *controller) {
+  struct tmx_ctl *c = controller;
+  size_t n;
+  tmx_cloud_types(c->cloud, &n);
+  return n > 0 && tmx_link_member(c->link) && tmx_ctl_fresh(c);
+}
+
 bool fake_planning(void) {
   for (int k = 0; k < FAKE_NODES; k++)
     if (running[k] && tmx_rounds_planning(running[k]->rounds)) return true;
@@ -851,6 +871,7 @@
 void fake_close(void) {
   while (slow_answers) on_slow(loop, &slow_answers->t, 0);
   fake_apart = false;
+  fake_adjust = NULL;
   for (int i = 0; i < FAKE_NODES; i++)
     if (state.doors[i].held) tmx_req_reply(state.doors[i].held, 500, NULL, 0);
   for (size_t i = 0; i < state.n_w; i++) tmx_req_reply(state.w[i].req, 503, NULL, 0);
--- a/tests/fake.h
+++ b/tests/fake.h
@@ -106,6 +106,8 @@
 extern struct ev_loop *loop;
 extern struct fake_state state;
 extern struct fake_cloud cloud;
+/* Changes the settings of controllers made from now on; NULL: nothing. */
+extern void (*fake_adjust)(struct tmx_settings *s);
 extern bool fake_apart; /* controllers made from now on do not reach their peers */
 
 void fake_open(void);
@@ -114,6 +116,7 @@
 struct tmx_ctl *controller(int k, int of);
 void controller_end(struct tmx_ctl *c); /* it ends without a word, as a killed process does */
 bool fake_planning(void);               /* a planner's thread has work */
+bool fake_ready(void *controller);      /* for pump: it is a member, fresh, and knows the types */
 struct tmx_client *to(struct tmx_ctl *c);
 bool pump(bool (*done)(void *), void *arg); /* runs the loop until done; false after 10 s */
 void pump_for(double s);
@@ -137,6 +140,14 @@
 void worker_set(struct fake_worker *w, const char *task, uint32_t attempt, const char *st,
                 const char *why);
 
+struct fake_job { /* a submission; what is left out is 0, an array of class "c" that runs 10 s */
+  const char *id, *kind, *class, *team;
+  uint32_t tasks;
+  double cpus, estimate_s;
+  const struct tmx_buf *awaits; /* the encoded list; NULL: none */
+};
+void submission_of(struct tmx_buf *b, const struct fake_job *job);
+int submit_job(struct tmx_ctl *c, const struct fake_job *job); /* the answer's status */
 void submission(struct tmx_buf *b, const char *id, const char *kind, uint32_t tasks, double cpus,
                 const char *team);
 /* One that awaits others: a submission with the encoded list in place of nothing. */
--- /dev/null
+++ b/tests/test_admission.c
@@ -0,0 +1,526 @@
+/* Admission: the arithmetic of shares and accounts, and the judgement of controllers under scripted
+ * peers while a surge meets other troubles. */
+#include "fake.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "admission/shares.h"
+#include "core/plan.h"
+#include "net/log.h"
+#include "tmx/wire.h"
+
+/* ------------------------------------------------------------ shares and accounts */
+
+static void ceilings_leave_reserves_and_stay_under_the_bound(void **st) {
+  (void)st;
+  double used[3] = {0, 0, 0};
+  struct tmx_division division = {.bound = 90, .reserve = 0.5, .parties = 3};
+  for (int i = 0; i < 3; i++) used[i] = tmx_share_ceiling(&division, used, (size_t)i);
+  assert_true(used[0] > 50 && used[1] > 15 && used[2] > 15);
+  assert_true(used[0] + used[1] + used[2] <= 90);
+  used[0] = 1000; /* admitted before the bound fell: the others keep what is set aside for them */
+  assert_true(tmx_share_ceiling(&division, used, 1) >= 15);
+  assert_true(tmx_share_ceiling(&division, used, 1) <= 15.001);
+}
+
+static struct tmx_settings platform(void) {
+  struct tmx_settings s = {.n_teams = 2, .write_rps = 1000, .value_kb = 16, .ram_mb = 128};
+  tmx_operator_defaults(&s.op);
+  strcpy(s.teams[0].name, "t");
+  strcpy(s.teams[1].name, "u");
+  strcpy(s.objectives[0].class_name, "c");
+  strcpy(s.objectives[1].class_name, "d");
+  strcpy(s.objectives[2].class_name, "c");
+  s.n_objectives = 3;
+  s.op.admission.enabled = true;
+  s.op.admission.backlog_s = 100;
+  char err[128];
+  assert_true(tmx_admission_resolve(&s, err, sizeof err));
+  return s;
+}
+
+static void listed_classes_have_accounts_of_their_own(void **st) {
+  (void)st;
+  struct tmx_settings s = platform();
+  struct tmx_backlog b;
+  char name[32];
+  bool seen[TMX_ACCOUNTS_MAX] = {false};
+  size_t n = 0;
+  tmx_backlog_init(&b, &s);
+  assert_int_equal(b.n_listed, 2);
+  assert_int_equal(tmx_backlog_account(&b, "c"), 0);
+  assert_int_equal(tmx_backlog_account(&b, "d"), 1);
+  for (int i = 0; i < 5000; i++) {
+    snprintf(name, sizeof name, "invented-%d", i);
+    size_t account = tmx_backlog_account(&b, name);
+    assert_in_range(account, 2, tmx_backlog_accounts(&b) - 1);
+    n += !seen[account];
+    seen[account] = true;
+  }
+  assert_int_equal(n, TMX_HASHED_ACCOUNTS);
+}
+
+static void absurd_numbers_do_not_overflow(void **st) {
+  (void)st;
+  struct tmx_spec huge = {.cpus = 1e300, .gpus = 1e308, .mem = 1e308, .estimate_s = 1e308};
+  struct tmx_load sum = {{0}};
+  huge.tasks = TMX_TASKS_MAX;
+  struct tmx_load one = tmx_load_of(&huge, huge.tasks);
+  for (int i = 0; i < 1000000; i++) tmx_load_add(&sum, &one, 1);
+  for (int i = 0; i < TMX_ADMISSION_RESOURCES; i++) assert_true(sum.amount[i] > 0);
+  for (int i = 0; i < 1000000; i++) tmx_load_add(&sum, &one, -1);
+  for (int i = 0; i < TMX_ADMISSION_RESOURCES; i++) assert_int_equal(sum.amount[i], 0);
+}
+
+static struct tmx_candidate candidate(const struct tmx_backlog *b, int team, const char *class_name,
+                                      uint32_t tasks) {
+  struct tmx_spec spec = {.cpus = 1, .mem = 1, .estimate_s = 10, .tasks = tasks};
+  return (struct tmx_candidate){.team = team,
+                                .account = tmx_backlog_account(b, class_name),
+                                .load = tmx_load_of(&spec, tasks)};
+}
+
+static unsigned admit_until_refused(const struct tmx_settings *s, struct tmx_backlog *b,
+                                    const struct tmx_rates *rates, int team, const char *prefix,
+                                    unsigned classes, uint32_t tasks) {
+  char name[64];
+  unsigned n = 0, refused = 0;
+  for (unsigned i = 0; refused < classes * 4 && i < 100000; i++) {
+    snprintf(name, sizeof name, classes > 1 ? "%s-%u" : "%s", prefix, i % classes);
+    struct tmx_candidate x = candidate(b, team, name, tasks);
+    if (tmx_admission_judge(s, b, NULL, rates, &x).verdict != TMX_ADMITTED) {
+      refused++;
+      continue;
+    }
+    tmx_load_add(&b->accounts[team][x.account].load, &x.load, 1);
+    b->accounts[team][x.account].jobs++;
+    n++;
+  }
+  assert_true(refused > 0);
+  return n;
+}
+
+static void a_flood_leaves_room_for_others(void **st) {
+  (void)st;
+  static const struct {
+    const char *class_name;
+    unsigned classes;
+    uint32_t tasks;
+  } floods[] = {{"c", 1, 1}, {"c", 1, 5000}, {"invented", 3000, 1}, {"invented", 3000, 400}};
+  struct tmx_settings s = platform();
+  struct tmx_machine_size machines = {.cpus = 64, .mem_gb = 256};
+  struct tmx_rates rates = tmx_admission_rates(&s, &machines, &machines);
+  for (size_t i = 0; i < sizeof floods / sizeof *floods; i++) {
+    struct tmx_backlog b;
+    tmx_backlog_init(&b, &s);
+    admit_until_refused(&s, &b, &rates, 0, floods[i].class_name, floods[i].classes,
+                        floods[i].tasks);
+    /* the flooder's other listed class, and the other team with either, still find room */
+    struct tmx_candidate other_class = candidate(&b, 0, "d", 4);
+    struct tmx_candidate other_team = candidate(&b, 1, "c", 4);
+    assert_int_equal(tmx_admission_judge(&s, &b, NULL, &rates, &other_class).verdict, TMX_ADMITTED);
+    assert_int_equal(tmx_admission_judge(&s, &b, NULL, &rates, &other_team).verdict, TMX_ADMITTED);
+    /* what is set aside: 14.2 s of the bound of 100 s, at 0.625 s a job */
+    assert_true(admit_until_refused(&s, &b, &rates, 1, "c", 1, 4) >= 22);
+  }
+}
+
+static void invented_names_gain_nothing(void **st) {
+  (void)st;
+  struct tmx_settings s = platform();
+  struct tmx_machine_size machines = {.cpus = 64, .mem_gb = 256};
+  struct tmx_rates rates = tmx_admission_rates(&s, &machines, &machines);
+  struct tmx_backlog one, many;
+  tmx_backlog_init(&one, &s);
+  tmx_backlog_init(&many, &s);
+  admit_until_refused(&s, &one, &rates, 0, "c", 1, 1);
+  admit_until_refused(&s, &many, &rates, 0, "invented", 3000, 1);
+  /* one listed class, or all invented ones together: the same ceiling, within one job */
+  assert_true(tmx_team_seconds(&many, 0, &rates) <= tmx_team_seconds(&one, 0, &rates) + 0.2);
+}
+
+static void less_capacity_refuses_sooner_but_keeps_reserves(void **st) {
+  (void)st;
+  struct tmx_settings s = platform();
+  struct tmx_machine_size large = {.cpus = 64, .mem_gb = 256}, small = {.cpus = 8, .mem_gb = 32};
+  struct tmx_rates before = tmx_admission_rates(&s, &large, &small);
+  struct tmx_rates after = tmx_admission_rates(&s, &small, &small);
+  struct tmx_backlog b;
+  tmx_backlog_init(&b, &s);
+  admit_until_refused(&s, &b, &before, 0, "c", 1, 4);
+  assert_true(tmx_total_seconds(&b, &after) > s.op.admission.backlog_s);
+  struct tmx_candidate more = candidate(&b, 0, "c", 1), newcomer = candidate(&b, 1, "c", 1);
+  assert_int_equal(tmx_admission_judge(&s, &b, NULL, &after, &more).verdict, TMX_REFUSED_TEAM);
+  assert_int_equal(tmx_admission_judge(&s, &b, NULL, &after, &newcomer).verdict, TMX_ADMITTED);
+}
+
+static void a_retry_is_expected_when_there_is_room(void **st) {
+  (void)st;
+  struct tmx_ruling little = {TMX_REFUSED_TEAM, 10.2, 10}, much = {TMX_REFUSED_TEAM, 1e9, 10};
+  assert_true(tmx_admission_retry_s(&little) == 1);
+  assert_true(tmx_admission_retry_s(&much) == TMX_ADMISSION_RETRY_MAX_S);
+  for (int i = 0; i < 100; i++) assert_in_range(tmx_gate_retry_after(&much), 20, 30);
+}
+
+/* ------------------------------------------------------------ settings */
+
+static bool load_operator(struct tmx_settings *s, const char *text, char *err, size_t cap) {
+  char path[] = "/tmp/tmx-operator-XXXXXX";
+  int fd = mkstemp(path);
+  FILE *f = fd >= 0 ? fdopen(fd, "w") : NULL;
+  assert_non_null(f);
+  fputs(text, f);
+  fclose(f);
+  tmx_operator_defaults(&s->op);
+  bool ok = tmx_operator_load(&s->op, path, err, cap) && tmx_admission_resolve(s, err, cap);
+  remove(path);
+  return ok;
+}
+
+static void bad_operator_settings_name_the_key(void **st) {
+  (void)st;
+  static const char *bad[][2] = {
+      {"[admission]\nenabld = true\n", "admission.enabld: unknown key"},
+      {"[admission]\nbacklog_s = 100\n", "admission.enabled: missing"},
+      {"[admission]\nenabled = 1\n", "admission.enabled: not a boolean"},
+      {"[admission]\nenabled = true\nbacklog_s = -1\n", "admission.backlog_s: out of range"},
+      {"[admission]\nenabled = true\nbacklog_s = nan\n", "admission.backlog_s: out of range"},
+      {"[admission]\nenabled = true\nreserve = 1.5\n", "admission.reserve: out of range"},
+      {"[admission]\nenabled = true\nstart_s = \"soon\"\n", "admission.start_s: not a number"},
+      {"admission = true\n", "admission: not a table"},
+      {"[admission]\nenabled = true\nteam_shares = 3\n", "admission.team_shares: not a table"},
+      {"[admission]\nenabled = true\n[admission.team_shares]\nx = 0.5\n",
+       "admission.team_shares.x: no such team"},
+      {"[admission]\nenabled = true\n[admission.team_shares]\nt = 0.5\nu = 0.6\n",
+       "admission.team_shares: add up to more than 1"},
+      {"[admission]\nenabled = true\n[admission.team_shares]\nt = 0.5\nu = 0.4\n",
+       "admission.team_shares: add up to less than 1"},
+      {"[admission]\nenabled = true\n[admission.team_shares]\nt = 1\n",
+       "admission.team_shares: leave nothing to the teams that are not named"},
+      {"[admission]\nenabled = true\n[admission.team_shares]\nt = -0.5\n",
+       "admission.team_shares.t: out of range"}};
+  struct tmx_settings s = platform();
+  char err[512];
+  for (size_t i = 0; i < sizeof bad / sizeof *bad; i++) {
+    assert_false(load_operator(&s, bad[i][0], err, sizeof err));
+    assert_non_null(strstr(err, bad[i][1]));
+    assert_null(strchr(err, '\n'));
+  }
+  assert_true(load_operator(&s, "[admission]\nenabled = true\n[admission.team_shares]\nt = 0.8\n",
+                            err, sizeof err));
+  assert_true(s.op.admission.share[0] > 0.79 && s.op.admission.share[1] < 0.21);
+  assert_true(load_operator(&s, "headroom = 0.1\n", err, sizeof err));
+  assert_false(s.op.admission.enabled);
+}
+
+/* ------------------------------------------------------------ controllers */
+
+static struct tmx_ctl *a, *b;
+static unsigned next_job;
+
+static void with_admission(struct tmx_settings *s) {
+  s->n_teams = 2;
+  strcpy(s->teams[1].name, "u");
+  s->teams[1].cpus_max = 8;
+  strcpy(s->objectives[0].class_name, "c");
+  strcpy(s->objectives[1].class_name, "d");
+  s->n_objectives = 2;
+  s->op.admission.enabled = true;
+  s->op.admission.backlog_s = 100;
+  char err[128];
+  assert_true(tmx_admission_resolve(s, err, sizeof err));
+}
+static void without_admission(struct tmx_settings *s) {
+  with_admission(s);
+  s->op.admission.enabled = false;
+}
+static struct tmx_ctl *begin(int k) {
+  struct tmx_ctl *c = controller(k, 2);
+  assert_true(pump(fake_ready, c));
+  return c;
+}
+static int setup(void **st) {
+  (void)st;
+  fake_open();
+  fake_adjust = with_admission;
+  a = begin(0);
+  b = begin(1);
+  pump_for(0.5);
+  next_job = 0;
+  return 0;
+}
+static int teardown(void **st) {
+  (void)st;
+  if (a) controller_end(a);
+  if (b) controller_end(b);
+  a = b = NULL;
+  fake_close();
+  return 0;
+}
+
+/* 40 CPU seconds of the class: 2.5 s of the one machine that may be rented. */
+static int submit_some(struct tmx_ctl *c, const char *team, const char *class_name) {
+  char id[TMX_ID_MAX];
+  snprintf(id, sizeof id, "wk-%06u", ++next_job);
+  struct fake_job job = {.id = id, .class = class_name, .team = team, .tasks = 4, .cpus = 1};
+  return submit_job(c, &job);
+}
+static unsigned flood(struct tmx_ctl *c, const char *team, const char *class_name) {
+  unsigned n = 0;
+  int status;
+  while ((status = submit_some(c, team, class_name)) == 201 && n < 200) n++;
+  assert_int_equal(status, 503);
+  return n;
+}
+static double backlog_of(const struct tmx_ctl *c) {
+  struct tmx_rates one_per_s = {{1, 1, 1, 0, 0}};
+  return tmx_total_seconds(c->rep.backlog, &one_per_s);
+}
+
+static void a_surge_at_one_controller_is_known_at_the_other(void **st) {
+  (void)st;
+  unsigned n = flood(a, "t", "c");
+  assert_in_range(n, 5, 30);
+  pump_for(0.2);
+  assert_int_equal(submit_some(b, "t", "c"), 503);
+  assert_int_equal(submit_some(b, "t", "d"), 201); /* another class of the same team */
+  assert_int_equal(submit_some(b, "u", "c"), 201); /* another team */
+  assert_true(backlog_of(a) == backlog_of(b));
+}
+
+static void a_late_copy_does_not_admit_by_old_shares(void **st) {
+  (void)st;
+  state.doors[1].freeze_watch = true;
+  unsigned n = flood(a, "t", "c");
+  for (unsigned i = 0; i < 10; i++) assert_int_equal(submit_some(b, "t", "c"), 503);
+  state.doors[1].freeze_watch = false;
+  fake_free_watches();
+  pump_for(3);
+  assert_int_equal(submit_some(b, "t", "c"), 503);
+  assert_int_equal(a->rep.backlog->accounts[0][0].jobs, n);
+  assert_int_equal(b->rep.backlog->accounts[0][0].jobs, n);
+}
+
+static void retries_questions_and_cancellations_pass(void **st) {
+  (void)st;
+  unsigned n = flood(a, "t", "c");
+  char id[TMX_ID_MAX];
+  struct fake_job first = {.id = "wk-000001", .class = "c", .team = "t", .tasks = 4, .cpus = 1};
+  assert_int_equal(submit_job(a, &first), 200);
+  assert_int_equal(submit_job(b, &first), 200);
+  snprintf(id, sizeof id, "wk-%06u", n + 1); /* the one that was refused is not remembered */
+  assert_int_equal(poll_job(a, id).status, 404);
+  /* what is called off makes room again, on every controller */
+  for (unsigned i = 1; i <= n; i++) {
+    snprintf(id, sizeof id, "wk-%06u", i);
+    assert_int_equal(cancel_job(b, id).status, 200);
+  }
+  pump_for(0.5);
+  assert_true(backlog_of(a) == 0 && backlog_of(b) == 0);
+  assert_int_equal(submit_some(a, "t", "c"), 201);
+}
+
+static void a_known_job_is_told_as_such_by_a_late_copy(void **st) {
+  (void)st;
+  flood(b, "t", "c");
+  pump_for(0.5);
+  struct fake_job last = {.id = "wk-900000", .class = "d", .team = "t", .tasks = 1, .cpus = 1};
+  state.doors[1].freeze_watch = true;
+  assert_int_equal(submit_job(a, &last), 201);
+  last.class = "c"; /* by another body: the class would be refused */
+  int status = submit_job(b, &last);
+  assert_true(status == 503 || status == 200);
+  state.doors[1].freeze_watch = false;
+  fake_free_watches();
+  pump_for(3);
+  assert_int_equal(submit_job(b, &last), 200);
+}
+
+static void the_judgement_outlives_leaders_folds_and_restarts(void **st) {
+  (void)st;
+  flood(a, "t", "c");
+  pump_for(0.5);
+  double before = backlog_of(a);
+  controller_end(a); /* the leader */
+  a = NULL;
+  pump_for(8);
+  assert_int_equal(submit_some(b, "t", "c"), 503);
+  tmx_fold_above(b->fold, 0);
+  pump_for(5);
+  tmx_fold_above(b->fold, 1000);
+  assert_int_equal(submit_some(b, "t", "c"), 503);
+  controller_end(b);
+  b = NULL;
+  a = begin(0);
+  assert_true(backlog_of(a) == before);
+  assert_int_equal(submit_some(a, "t", "c"), 503);
+  assert_int_equal(submit_some(a, "u", "c"), 201);
+}
+
+static void an_outage_in_the_surge_admits_nothing(void **st) {
+  (void)st;
+  for (int i = 0; i < 5; i++) assert_int_equal(submit_some(a, "t", "c"), 201);
+  for (int k = 0; k < 2; k++) state.doors[k].refuse = true;
+  pump_for(1);
+  assert_int_equal(submit_some(a, "t", "c"), 503);
+  for (int k = 0; k < 2; k++) state.doors[k].refuse = false;
+  pump_for(3);
+  flood(a, "t", "c");
+  assert_int_equal(submit_some(b, "t", "c"), 503);
+  assert_int_equal(submit_some(b, "u", "c"), 201);
+}
+
+static void beside_a_controller_without_admission(void **st) {
+  (void)st;
+  controller_end(b);
+  fake_adjust = without_admission;
+  b = begin(1);
+  for (int i = 0; i < 60; i++) assert_int_equal(submit_some(b, "t", "c"), 201);
+  pump_for(0.5);
+  assert_int_equal(submit_some(a, "t", "c"), 503); /* what the other admitted counts */
+  assert_int_equal(submit_some(a, "u", "c"), 201);
+  assert_null(b->rep.backlog);
+}
+
+static void smaller(struct tmx_settings *s) {
+  with_admission(s);
+  s->op.admission.backlog_s = 20;
+}
+static void settings_changed_between_restarts(void **st) {
+  (void)st;
+  unsigned n = flood(a, "t", "c");
+  controller_end(a);
+  controller_end(b);
+  b = NULL;
+  fake_adjust = smaller;
+  a = begin(0);
+  char id[TMX_ID_MAX];
+  for (unsigned i = 1; i < n; i++) {
+    snprintf(id, sizeof id, "wk-%06u", i);
+    assert_int_equal(poll_job(a, id).status, 200); /* what was admitted stays so */
+  }
+  for (unsigned i = 1; i < n - 2; i++) {
+    snprintf(id, sizeof id, "wk-%06u", i);
+    assert_int_equal(cancel_job(a, id).status, 200);
+  }
+  assert_int_equal(submit_some(a, "t", "c"), 503); /* three left: over the new ceiling */
+}
+
+static void a_pipeline_begun_is_carried_on_within_a_bound(void **st) {
+  (void)st;
+  flood(a, "t", "c");
+  struct tmx_buf list = {0};
+  char id[TMX_ID_MAX];
+  unsigned n = 0;
+  int status = 201;
+  tmx_w_list(&list, 1);
+  tmx_w_str(&list, "wk-000001");
+  for (; n < 100 && status == 201; n++) {
+    snprintf(id, sizeof id, "wk-%06u", 700000 + n);
+    struct fake_job job = {
+        .id = id, .class = "c", .team = "t", .tasks = 4, .cpus = 1, .awaits = &list};
+    status = submit_job(a, &job);
+  }
+  tmx_buf_free(&list);
+  assert_int_equal(status, 503);
+  assert_in_range(n, 5, 40);
+  assert_int_equal(submit_some(a, "u", "c"), 201);
+}
+
+/* ------------------------------------------------------------ turns */
+
+enum { FLOOD = 40 };
+
+static void fill_paper(struct tmx_feed *feed, double released, bool flooder, int slot) {
+  struct tmx_plan_job *j = tmx_feed_job(feed);
+  j->slot = slot;
+  snprintf(j->id, sizeof j->id, "wk-%06d", slot);
+  j->spec = calloc(1, sizeof *j->spec);
+  j->spec->tasks = flooder ? 1 : 30;
+  j->spec->cpus = 1;
+  j->spec->mem = 1;
+  j->spec->patience_s = 10;
+  j->spec->priority = j->priority = TMX_PRIO_NORMAL;
+  j->account = flooder ? 0 : 1;
+  j->zone = -1;
+  j->released = released;
+  j->stuck_since = 1;
+  j->aim_s = j->next_aim_s = 600;
+  j->run_s = 10;
+  j->open = true;
+  j->n_waits = j->spec->tasks;
+  j->waits = calloc(j->n_waits, sizeof *j->waits);
+  for (uint32_t i = 0; i < j->n_waits; i++) j->waits[i] = (struct tmx_plan_wait){i, 1};
+}
+
+/* One machine with room for one task; a flood of small jobs that stand before a larger one. */
+static bool larger_job_gets_the_room(double start_s, double since_start) {
+  struct tmx_model *model = tmx_model_new();
+  struct tmx_feed feed = {0};
+  struct tmx_plan_output out;
+  struct tmx_round *in = calloc(1, sizeof *in);
+  *in = (struct tmx_round){.n_zones = 1,
+                           .leading = true,
+                           .max_ops = 400,
+                           .max_visits = 400000,
+                           .n_teams = 1,
+                           .now = 1000,
+                           .wall = 1000};
+  in->turns.start_s = start_s;
+  in->turns.since_start[0][0] = 0;
+  in->turns.since_start[0][1] = since_start;
+  struct tmx_plan_machine *m = tmx_feed_machine(&feed);
+  strcpy(m->id, "n-000001");
+  strcpy(m->type, "big");
+  m->usable = true;
+  m->cpus = 1;
+  m->mem = 64;
+  for (int i = 0; i < FLOOD; i++) fill_paper(&feed, 900, true, i);
+  fill_paper(&feed, 940, false, FLOOD);
+  tmx_model_feed(model, &feed);
+  tmx_plan(model, in, &out);
+  bool larger = out.n_ops == 1 && !strcmp(out.ops[0].job, "wk-000040");
+  assert_int_equal(out.n_ops, 1);
+  free(out.ops);
+  tmx_feed_clear(&feed);
+  tmx_model_free(model);
+  free(in);
+  return larger;
+}
+
+static void a_class_gets_its_turn_behind_a_flood(void **st) {
+  (void)st;
+  assert_false(larger_job_gets_the_room(0, TMX_NEVER_S));   /* no turns: least work goes first */
+  assert_true(larger_job_gets_the_room(45, TMX_NEVER_S));   /* it has waited 60 s */
+  assert_false(larger_job_gets_the_room(45, 20));           /* its class had a start 20 s ago */
+  assert_false(larger_job_gets_the_room(100, TMX_NEVER_S)); /* it has not waited that long */
+}
+
+int main(void) {
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test(ceilings_leave_reserves_and_stay_under_the_bound),
+      cmocka_unit_test(listed_classes_have_accounts_of_their_own),
+      cmocka_unit_test(absurd_numbers_do_not_overflow),
+      cmocka_unit_test(a_flood_leaves_room_for_others),
+      cmocka_unit_test(invented_names_gain_nothing),
+      cmocka_unit_test(less_capacity_refuses_sooner_but_keeps_reserves),
+      cmocka_unit_test(a_retry_is_expected_when_there_is_room),
+      cmocka_unit_test(bad_operator_settings_name_the_key),
+      cmocka_unit_test(a_class_gets_its_turn_behind_a_flood),
+      cmocka_unit_test_setup_teardown(a_surge_at_one_controller_is_known_at_the_other, setup,
+                                      teardown),
+      cmocka_unit_test_setup_teardown(a_late_copy_does_not_admit_by_old_shares, setup, teardown),
+      cmocka_unit_test_setup_teardown(retries_questions_and_cancellations_pass, setup, teardown),
+      cmocka_unit_test_setup_teardown(a_known_job_is_told_as_such_by_a_late_copy, setup, teardown),
+      cmocka_unit_test_setup_teardown(the_judgement_outlives_leaders_folds_and_restarts, setup,
+                                      teardown),
+      cmocka_unit_test_setup_teardown(an_outage_in_the_surge_admits_nothing, setup, teardown),
+      cmocka_unit_test_setup_teardown(beside_a_controller_without_admission, setup, teardown),
+      cmocka_unit_test_setup_teardown(settings_changed_between_restarts, setup, teardown),
+      cmocka_unit_test_setup_teardown(a_pipeline_begun_is_carried_on_within_a_bound, setup,
+                                      teardown),
+  };
+  return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -12,12 +12,6 @@
 static struct tmx_ctl *a, *b;
 static struct fake_worker w, others[2];
 
-static bool typed(void *arg) {
-  struct tmx_ctl *c = arg;
-  size_t n;
-  tmx_cloud_types(c->cloud, &n);
-  return n > 0 && tmx_link_member(c->link) && tmx_ctl_fresh(c);
-}
 static int setup(void **st) {
   (void)st;
   fake_open();
@@ -26,7 +20,7 @@
   worker_open(&others[1], "n-000003");
   a = controller(0, 1);
   b = NULL;
-  assert_true(pump(typed, a));
+  assert_true(pump(fake_ready, a));
   return 0;
 }
 static int setup_two(void **st) {
@@ -36,9 +30,9 @@
   worker_open(&others[0], "n-000002");
   worker_open(&others[1], "n-000003");
   a = controller(0, 2);
-  assert_true(pump(typed, a));
+  assert_true(pump(fake_ready, a));
   b = controller(1, 2);
-  assert_true(pump(typed, b));
+  assert_true(pump(fake_ready, b));
   pump_for(0.5);
   return 0;
 }
@@ -83,7 +77,7 @@
 static void restart(void) {
   controller_end(a);
   a = controller(0, 1);
-  assert_true(pump(typed, a));
+  assert_true(pump(fake_ready, a));
 }
 static bool has_state(void *arg) {
   const char **x = arg;
@@ -316,7 +310,7 @@
   w.session++;
   w.n_loads = 0;
   a = controller(0, 1);
-  assert_true(pump(typed, a));
+  assert_true(pump(fake_ready, a));
   for (int i = 0; i < 40 && w.executed_starts < 2; i++) {
     worker_report(&w, a);
     worker_do(&w);
@@ -401,7 +395,7 @@
   fake_put(TMX_K_NODE "hand-0", &v);
   tmx_buf_free(&v);
   pump_for(0.1);
-  assert_true(pump(typed, a));
+  assert_true(pump(fake_ready, a));
   assert_true(tmx_link_inc(a->link) > run);
   assert_int_equal(submit(a, "wk-000001", "batch", 1, 2, "t"), 201);
   for (int i = 0; i < 100 && !w.executed_starts; i++) {
@@ -420,7 +414,7 @@
   state.lapsed = state.leases;
   fake_drop(TMX_K_NODE "hand-0");
   pump_for(0.3);
-  assert_true(pump(typed, a));
+  assert_true(pump(fake_ready, a));
   assert_true(tmx_link_inc(a->link) > run);
   assert_int_equal(state.lapsed_puts, 1);
 }
@@ -447,7 +441,7 @@
   w.session++;
   w.n_loads = 0;
   a = controller(0, 1);
-  assert_true(pump(typed, a));
+  assert_true(pump(fake_ready, a));
   for (int i = 0; i < 40 && w.executed_starts < 3; i++) {
     worker_report(&w, a);
     worker_do(&w);
@@ -756,7 +750,7 @@
     assert_int_equal(fake_placed(), 0);
     assert_int_equal(w.executed_starts, begun);
     *(first ? &a : &b) = controller(first ? 0 : 1, 2);
-    assert_true(pump(typed, first ? a : b));
+    assert_true(pump(fake_ready, first ? a : b));
     pump_for(1);
     up(&w);
   }
--- a/tests/test_pipelines.c
+++ b/tests/test_pipelines.c
@@ -13,19 +13,13 @@
 static struct tmx_ctl *a, *b;
 static struct fake_worker w;
 
-static bool typed(void *arg) {
-  struct tmx_ctl *c = arg;
-  size_t n;
-  tmx_cloud_types(c->cloud, &n);
-  return n > 0 && tmx_link_member(c->link) && tmx_ctl_fresh(c);
-}
 static int setup(void **st) {
   (void)st;
   fake_open();
   worker_open(&w, "n-000001");
   a = controller(0, 1);
   b = NULL;
-  assert_true(pump(typed, a));
+  assert_true(pump(fake_ready, a));
   return 0;
 }
 static int setup_two(void **st) {
@@ -33,9 +27,9 @@
   fake_open();
   worker_open(&w, "n-000001");
   a = controller(0, 2);
-  assert_true(pump(typed, a));
+  assert_true(pump(fake_ready, a));
   b = controller(1, 2);
-  assert_true(pump(typed, b));
+  assert_true(pump(fake_ready, b));
   pump_for(0.5);
   return 0;
 }
@@ -69,7 +63,7 @@
 static void restart(void) {
   controller_end(a);
   a = controller(0, 1);
-  assert_true(pump(typed, a));
+  assert_true(pump(fake_ready, a));
 }
 static bool has_state(void *arg) {
   const char **x = arg;
@@ -268,7 +262,7 @@
   controller_end(a);
   state.doors[0].freeze_watch = false;
   a = controller(0, 1);
-  assert_true(pump(typed, a));
+  assert_true(pump(fake_ready, a));
   for (int i = 0; i < 40 && w.executed_starts < 2; i++) {
     report();
     worker_do(&w);
--- a/tests/test_rules.c
+++ b/tests/test_rules.c
@@ -15,19 +15,13 @@
 static struct tmx_ctl *a, *b;
 static struct fake_worker w;
 
-static bool member(void *arg) { return tmx_link_member(((struct tmx_ctl *)arg)->link); }
-static bool typed(void *arg) {
-  size_t n;
-  tmx_cloud_types(((struct tmx_ctl *)arg)->cloud, &n);
-  return n > 0 && member(arg) && tmx_ctl_fresh(arg);
-}
 static int setup(void **st) {
   (void)st;
   fake_open();
   worker_open(&w, "n-000001");
   a = controller(0, 1);
   b = NULL;
-  assert_true(pump(typed, a));
+  assert_true(pump(fake_ready, a));
   return 0;
 }
 static int setup_two(void **st) {
@@ -35,9 +29,9 @@
   fake_open();
   worker_open(&w, "n-000001");
   a = controller(0, 2);
-  assert_true(pump(typed, a));
+  assert_true(pump(fake_ready, a));
   b = controller(1, 2);
-  assert_true(pump(typed, b));
+  assert_true(pump(fake_ready, b));
   return 0;
 }
 static int teardown(void **st) {
@@ -185,7 +179,7 @@
   w.mute = false;
   w.executed_starts = 0;
   a = controller(0, 1);
-  assert_true(pump(typed, a));
+  assert_true(pump(fake_ready, a));
   worker_report(&w, a);
   if (w.status == 200) worker_do(&w);
   assert_true(pump(running, NULL));
@@ -197,7 +191,7 @@
 static void restart(void) {
   controller_end(a);
   a = controller(0, 1);
-  assert_true(pump(typed, a));
+  assert_true(pump(fake_ready, a));
 }
 /* Restarts at the later steps: with a result in the log that was not reaped, with a task running,
  * and with a cancellation whose tasks still run. */
@@ -241,7 +235,7 @@
   assert_true(w.commands > 0);
   controller_end(a);
   a = controller(0, 1);
-  assert_true(pump(typed, a));
+  assert_true(pump(fake_ready, a));
   assert_string_equal(cancel_job(a, "wk-000001").state, WV_CANCELLED);
   uint64_t before = w.token;
   worker_report(&w, a);
@@ -657,7 +651,7 @@
   assert_true(pump(folded, NULL));
   controller_end(a);
   a = controller(0, 1);
-  assert_true(pump(typed, a));
+  assert_true(pump(fake_ready, a));
   struct tmx_job *j = tmx_job_find(&a->rep, "wk-000001");
   assert_int_equal(j->tasks[0].state, TMX_PLACED);
   assert_int_equal(j->tasks[1].state, TMX_TASK_DONE);
--- a/tests/test_scale.c
+++ b/tests/test_scale.c
@@ -13,12 +13,6 @@
 static struct tmx_ctl *a, *b;
 static struct fake_worker w;
 
-static bool typed(void *arg) {
-  struct tmx_ctl *c = arg;
-  size_t n;
-  tmx_cloud_types(c->cloud, &n);
-  return n > 0 && tmx_link_member(c->link) && tmx_ctl_fresh(c);
-}
 static int setup(void **st) {
   (void)st;
   fake_open();
@@ -61,9 +55,9 @@
   (void)st;
   enum { MACHINES = 5000 };
   a = controller(0, 2);
-  assert_true(pump(typed, a));
+  assert_true(pump(fake_ready, a));
   b = controller(1, 2);
-  assert_true(pump(typed, b));
+  assert_true(pump(fake_ready, b));
   put_lines("m n-1%05zu 127.0.0.1:1 big a 0 0", 0, MACHINES);
   pump_for(8); /* none of them reports */
   struct tmx_machine *m, *next;
@@ -84,7 +78,7 @@
   (void)st;
   enum { GONE = 20000 };
   a = controller(0, 1);
-  assert_true(pump(typed, a));
+  assert_true(pump(fake_ready, a));
   worker_report(&w, a);
   uint64_t token = w.token;
   put_lines("x n-%06zu", 1, GONE);
@@ -104,7 +98,7 @@
   enum { MACHINES = 9000 };
   struct tmx_buf body = {0};
   a = controller(0, 1);
-  assert_true(pump(typed, a));
+  assert_true(pump(fake_ready, a));
   put_lines("m n-1%05zu 127.0.0.1:1 big a 0 0", 0, MACHINES);
   pump_for(1);
   assert_int_equal(HASH_COUNT(a->rep.machines), MACHINES);
@@ -120,7 +114,7 @@
   (void)st;
   cloud.listed = 6100;
   a = controller(0, 1);
-  assert_true(pump(typed, a));
+  assert_true(pump(fake_ready, a));
   for (int i = 0; i < 100 && cloud.pages < 5; i++) pump_for(0.1);
   cloud.listed = 6900;
   for (int i = 0; i < 400 && listed() < 6900; i++) pump_for(0.1);
@@ -133,7 +127,7 @@
   cloud.listed = 2000;
   cloud.same_page = true;
   a = controller(0, 1);
-  assert_true(pump(typed, a));
+  assert_true(pump(fake_ready, a));
   cloud.pages = 0;
   pump_for(10);
   assert_in_range(cloud.pages, 2, 14); /* two a pass, a pass each 2 s */
--- a/tests/test_upgrade.c
+++ b/tests/test_upgrade.c
@@ -13,12 +13,6 @@
 static struct tmx_ctl *a;
 static struct fake_worker w;
 
-static bool typed(void *arg) {
-  struct tmx_ctl *c = arg;
-  size_t n;
-  tmx_cloud_types(c->cloud, &n);
-  return n > 0 && tmx_link_member(c->link) && tmx_ctl_fresh(c);
-}
 static int setup(void **st) {
   (void)st;
   fake_open();
@@ -35,7 +29,7 @@
 }
 static void begin(void) {
   a = controller(0, 1);
-  assert_true(pump(typed, a));
+  assert_true(pump(fake_ready, a));
 }
 static void restart(void) {
   controller_end(a);
