--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -237,6 +237,9 @@
 /* bytes of the log: record and final state of a job; a task's placement and its end */
 #define TMX_LOG_JOB_BYTES 200
 #define TMX_LOG_TASK_BYTES (2L * TMX_LINE_TYPICAL)
+/* of the puts of batches: for values with lines, and for final states; the rest rewrites head */
+#define TMX_LINES_SHARE 0.3
+#define TMX_FINALS_SHARE 0.4
 /* of a controller's memory: for jobs that are not over */
 #define TMX_HELD_SHARE 0.25
 /* of the bound: above this backlog submissions go with batches only, which all rewrite head ... */
--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -21,12 +21,13 @@
   struct tmx_rates rates;
   double cpus = fmax(fmax(present->cpus, largest->cpus), guaranteed(settings, false));
   double gpus = fmax(fmax(present->gpus, largest->gpus), guaranteed(settings, true));
-  double log_bytes = settings->write_rps * TMX_WRITE_SHARE * (double)tmx_value_room(settings);
+  double puts = settings->write_rps * TMX_WRITE_SHARE;
   double held_bytes = settings->ram_mb * TMX_BYTES_PER_MB * TMX_HELD_SHARE;
   rates.per_s[TMX_ADMISSION_CPU] = cpus * TMX_MILLI;
   rates.per_s[TMX_ADMISSION_GPU] = gpus * TMX_MILLI;
   rates.per_s[TMX_ADMISSION_MEMORY] = fmax(present->mem_gb, largest->mem_gb) * TMX_MB_PER_GB;
-  rates.per_s[TMX_ADMISSION_LOG] = log_bytes / TMX_ROUND_PUTS;
+  rates.per_s[TMX_ADMISSION_LOG] = puts * TMX_LINES_SHARE * (double)tmx_value_room(settings);
+  rates.per_s[TMX_ADMISSION_PUTS] = puts * TMX_FINALS_SHARE;
   /* memory is not worked off: its share of the bound is that of what may be held */
   rates.per_s[TMX_ADMISSION_HELD] = held_bytes / settings->op.admission.backlog_s;
   return rates;
--- a/src/admission/backlog.c
+++ b/src/admission/backlog.c
@@ -41,6 +41,7 @@
   load.amount[TMX_ADMISSION_GPU] = bounded(task_seconds * spec->gpus * TMX_MILLI);
   load.amount[TMX_ADMISSION_MEMORY] = bounded(task_seconds * spec->mem * TMX_MB_PER_GB);
   load.amount[TMX_ADMISSION_LOG] = TMX_LOG_JOB_BYTES + (int64_t)tasks_left * TMX_LOG_TASK_BYTES;
+  load.amount[TMX_ADMISSION_PUTS] = 1;
   load.amount[TMX_ADMISSION_HELD] =
       (int64_t)sizeof(struct tmx_job) + (int64_t)spec->tasks * (int64_t)sizeof(struct tmx_task);
   return load;
--- a/src/admission/backlog.h
+++ b/src/admission/backlog.h
@@ -17,6 +17,7 @@
   TMX_ADMISSION_GPU,    /* GPU milliseconds */
   TMX_ADMISSION_MEMORY, /* memory of machines, MB times s */
   TMX_ADMISSION_LOG,    /* bytes of lines of the log */
+  TMX_ADMISSION_PUTS,   /* puts of final states */
   TMX_ADMISSION_HELD,   /* bytes of a controller's memory */
   TMX_ADMISSION_RESOURCES
 };
--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -1,6 +1,7 @@
 #include "admission/gate.h"
 
 #include <math.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -158,20 +159,25 @@
   }
 }
 
-static const char *account_name(const struct tmx_backlog *backlog, size_t account) {
-  return account < backlog->n_listed ? backlog->listed[account] : "(other classes)";
+static void account_name(const struct tmx_backlog *backlog, size_t account, char *out, size_t cap) {
+  if (account < backlog->n_listed)
+    snprintf(out, cap, "%s", backlog->listed[account]);
+  else
+    snprintf(out, cap, "(other classes, %zu)", account - backlog->n_listed);
 }
 
 static void report_account(const struct tmx_gate *gate, size_t team, size_t i, double oldest_s,
                            const struct tmx_rates *rates) {
   const struct tmx_account *account = &gate->backlog.accounts[team][i];
   struct tmx_account_figures f = tmx_statistics_figures(gate->statistics, team, i);
+  char name[TMX_NAME_MAX];
   if (!account->jobs && !f.admitted && !f.refused_team && !f.refused_class && !f.starts) return;
+  account_name(&gate->backlog, i, name, sizeof name);
   tmx_log(TMX_INFO,
           "admission: %s %s: %u jobs, backlog %.1f s, oldest waits %.0f s; admitted %lu, refused "
           "%lu by team, %lu by class; %lu began, after %.1f s (median), %.1f s (99%%), %.1f s "
           "(most)",
-          gate->controller->set.teams[team].name, account_name(&gate->backlog, i), account->jobs,
+          gate->controller->set.teams[team].name, name, account->jobs,
           tmx_load_seconds(&account->load, rates), oldest_s, f.admitted, f.refused_team,
           f.refused_class, f.starts, f.start_median_s, f.start_p99_s, f.start_most_s);
 }
--- /dev/null
+++ b/tests/cluster/link.c
@@ -0,0 +1,165 @@
+#include "cluster/link.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utlist.h>
+
+#include "net/log.h"
+
+enum { CHUNK_BYTES = 65536, BACKLOG = 512 };
+static const double flush_s = 0.002;
+
+struct chunk {
+  double due;
+  size_t n, sent;
+  struct chunk *next;
+  char bytes[];
+};
+struct pair;
+struct side { /* what one end sends to the other */
+  struct pair *pair;
+  int from, to;
+  ev_io readable;
+  struct chunk *chunks;
+};
+struct pair { /* one connection */
+  struct link *link;
+  struct side sides[2];
+  struct pair *prev, *next;
+};
+struct link {
+  struct ev_loop *loop;
+  int fd, port, target;
+  enum link_mode mode;
+  double delay_s;
+  ev_io acceptable;
+  ev_timer flush;
+  struct pair *pairs;
+};
+
+static int loopback_socket(struct sockaddr_in *at, int port) {
+  memset(at, 0, sizeof *at);
+  at->sin_family = AF_INET;
+  at->sin_port = htons((uint16_t)port);
+  at->sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+}
+
+static void close_pair(struct pair *pair) {
+  struct link *link = pair->link;
+  for (int i = 0; i < 2; i++) {
+    struct chunk *chunk, *next;
+    ev_io_stop(link->loop, &pair->sides[i].readable);
+    close(pair->sides[i].from);
+    LL_FOREACH_SAFE(pair->sides[i].chunks, chunk, next) free(chunk);
+  }
+  DL_DELETE(link->pairs, pair);
+  free(pair);
+}
+
+/* false: the connection is over */
+static bool send_due(struct side *side, double now) {
+  struct chunk *chunk;
+  while ((chunk = side->chunks) && chunk->due <= now) {
+    ssize_t n = send(side->to, chunk->bytes + chunk->sent, chunk->n - chunk->sent, MSG_NOSIGNAL);
+    if (n < 0) return errno == EAGAIN || errno == ENOTCONN;
+    chunk->sent += (size_t)n;
+    if (chunk->sent < chunk->n) return true;
+    LL_DELETE(side->chunks, chunk);
+    free(chunk);
+  }
+  return true;
+}
+
+static void on_readable(struct ev_loop *loop, ev_io *io, int events) {
+  struct side *side = io->data;
+  struct link *link = side->pair->link;
+  (void)loop;
+  (void)events;
+  struct chunk *chunk = malloc(sizeof *chunk + CHUNK_BYTES);
+  if (!chunk) abort();
+  ssize_t n = recv(side->from, chunk->bytes, CHUNK_BYTES, 0);
+  if (n <= 0) {
+    free(chunk);
+    if (n == 0 || (errno != EAGAIN && errno != ENOTCONN)) close_pair(side->pair);
+    return;
+  }
+  chunk->n = (size_t)n;
+  chunk->sent = 0;
+  chunk->due = tmx_now() + link->delay_s;
+  LL_APPEND(side->chunks, chunk);
+  if (link->mode == LINK_OPEN && !send_due(side, tmx_now())) close_pair(side->pair);
+}
+
+static void on_flush(struct ev_loop *loop, ev_timer *timer, int events) {
+  struct link *link = timer->data;
+  struct pair *pair, *next;
+  (void)loop;
+  (void)events;
+  if (link->mode != LINK_OPEN) return;
+  DL_FOREACH_SAFE(link->pairs, pair, next) {
+    double now = tmx_now();
+    if (!send_due(&pair->sides[0], now) || !send_due(&pair->sides[1], now)) close_pair(pair);
+  }
+}
+
+static void on_acceptable(struct ev_loop *loop, ev_io *io, int events) {
+  struct link *link = io->data;
+  struct sockaddr_in at;
+  (void)events;
+  int fd = accept4(link->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (fd < 0) return;
+  int to = loopback_socket(&at, link->target);
+  if (link->mode == LINK_REFUSED ||
+      (connect(to, (struct sockaddr *)&at, sizeof at) && errno != EINPROGRESS)) {
+    close(fd);
+    close(to);
+    return;
+  }
+  struct pair *pair = calloc(1, sizeof *pair);
+  if (!pair) abort();
+  pair->link = link;
+  for (int i = 0; i < 2; i++) {
+    struct side *side = &pair->sides[i];
+    *side = (struct side){.pair = pair, .from = i ? to : fd, .to = i ? fd : to};
+    ev_io_init(&side->readable, on_readable, side->from, EV_READ);
+    side->readable.data = side;
+    ev_io_start(loop, &side->readable);
+  }
+  DL_APPEND(link->pairs, pair);
+}
+
+struct link *link_new(struct ev_loop *loop, int target_port) {
+  struct link *link = calloc(1, sizeof *link);
+  struct sockaddr_in at;
+  socklen_t n = sizeof at;
+  if (!link) abort();
+  link->loop = loop;
+  link->target = target_port;
+  link->fd = loopback_socket(&at, 0);
+  if (bind(link->fd, (struct sockaddr *)&at, sizeof at) || listen(link->fd, BACKLOG) ||
+      getsockname(link->fd, (struct sockaddr *)&at, &n))
+    abort();
+  link->port = ntohs(at.sin_port);
+  ev_io_init(&link->acceptable, on_acceptable, link->fd, EV_READ);
+  link->acceptable.data = link;
+  ev_io_start(loop, &link->acceptable);
+  ev_timer_init(&link->flush, on_flush, flush_s, flush_s);
+  link->flush.data = link;
+  ev_timer_start(loop, &link->flush);
+  return link;
+}
+
+int link_port(const struct link *link) { return link->port; }
+
+void link_set(struct link *link, enum link_mode mode, double delay_s) {
+  struct pair *pair, *next;
+  link->mode = mode;
+  link->delay_s = delay_s;
+  if (mode == LINK_REFUSED) DL_FOREACH_SAFE(link->pairs, pair, next) close_pair(pair);
+}
--- /dev/null
+++ b/tests/cluster/load.c
@@ -0,0 +1,252 @@
+/* A cluster on loopback without a bench, run by hand: real controllers, and scripted peers in this
+ * process: a state service, a cloud, workers that run tasks, users that submit and ask. Prints what
+ * each controller used and how each class fared. `load --help` lists the options; docs/results.md
+ * and docs/admission.md have what was found with it. */
+#include <gsl/gsl_rng.h>
+#include <popt.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/resource.h>
+
+#include "cluster/history.h"
+#include "cluster/nodes.h"
+#include "cluster/users.h"
+#include "cluster/workers.h"
+#include "core/plan.h"
+#include "net/log.h"
+#include "tmx/wire.h"
+
+enum { MACHINE_CPUS = 16, TROUBLES_MAX = 16, SPARE_CONNECTIONS = 16 };
+static const double quiet_s = 5, settle_s = 10, final_s = 240, step_s = 0.02;
+
+gsl_rng *cluster_rng;
+static int machines = 2187, nodes = 5, seconds = 60, services = 280, arrays = 30, away, seed = 1;
+static double report_s = 10, run_s = 50, surge;
+static char *operator_config, *history_path, *troubles[TROUBLES_MAX];
+static size_t n_troubles;
+static double begun_at;
+static bool submitting;
+static unsigned state_commits, state_reads;
+
+static void adjust(struct tmx_settings *s) {
+  static const char *const teams[] = {"t", "u", "v"};
+  static const char *const listed[] = {"small", "tally", "refresh", "live"};
+  s->n_teams = sizeof teams / sizeof *teams;
+  for (size_t i = 0; i < s->n_teams; i++) {
+    memset(&s->teams[i], 0, sizeof s->teams[i]);
+    strcpy(s->teams[i].name, teams[i]);
+  }
+  s->n_objectives = sizeof listed / sizeof *listed;
+  for (size_t i = 0; i < s->n_objectives; i++) {
+    strcpy(s->objectives[i].kind, "served");
+    strcpy(s->objectives[i].class_name, listed[i]);
+  }
+  s->report_s = report_s;
+  s->lease_s = 42;
+  s->cancel_s = 62;
+  s->state_rps = 200;
+  s->write_rps = 40;
+  s->sockets = 5000;
+  s->core_share = 0.096;
+  s->ram_mb = 162;
+}
+
+/* Twice what the machines can serve, say, of which one team asks for most, in small jobs. */
+static const struct job_kind *surge_kinds(void) {
+  static struct job_kind kinds[] = {{'f', "t", "small", WV_ARRAY, "normal", 1, 2, 10, 0.70, 0},
+                                    {'t', "u", "tally", WV_ARRAY, "normal", 10, 2, 15, 0.175, 0},
+                                    {'r', "v", "refresh", WV_ARRAY, "normal", 4, 4, 10, 0.125, 0},
+                                    {'s', "v", "live", WV_SERVICE, "prod", 2, 1, 0, 0, 5},
+                                    {0}};
+  for (struct job_kind *k = kinds; k->letter; k++) {
+    if (k->run_s <= 0) continue;
+    double share = k->per_s, work = k->tasks * k->cpus * k->run_s;
+    k->per_s = surge * share * machines * MACHINE_CPUS / work;
+  }
+  return kinds;
+}
+
+static const struct job_kind *steady_kinds(void) {
+  static struct job_kind kinds[] = {{'s', "t", "live", WV_SERVICE, "normal", 6, 2, 0, 0, 0},
+                                    {'a', "t", "tally", WV_ARRAY, "normal", 70, 4, 0, 0, 0},
+                                    {0}};
+  kinds[0].at_start = (unsigned)services;
+  kinds[1].run_s = run_s;
+  kinds[1].per_s = arrays / 60.0;
+  return kinds;
+}
+
+/* ------------------------------------------------------------ history of commits */
+
+static void on_op(void *arg, const struct tmx_op *op) {
+  char task[TMX_LINE_MAX];
+  (void)arg;
+  if (op->op != TMX_OP_PLACE) return;
+  snprintf(task, sizeof task, "%s/%u", op->job, op->task);
+  history_placed(task, op->attempt, op->machine);
+}
+
+static void on_written(const char *key, const uint8_t *value, size_t len) {
+  char line[TMX_LINE_MAX];
+  if (strncmp(key, TMX_K_BATCH, strlen(TMX_K_BATCH))) return;
+  cbor_item_t *m = tmx_cbor_parse(value, len);
+  const cbor_item_t *ops = tmx_r_get(m, "ops");
+  for (size_t i = 0; i < tmx_r_len(ops); i++)
+    if (tmx_r_str(tmx_r_at(ops, i), line, sizeof line)) tmx_ops_each(line, on_op, NULL);
+  tmx_cbor_free(m);
+}
+
+/* ------------------------------------------------------------ running */
+
+static void begin_troubles(double now) {
+  for (size_t i = 0; i < n_troubles; i++) {
+    char *rest;
+    if (!troubles[i] || now - begun_at < strtod(troubles[i], &rest)) continue;
+    if (!nodes_trouble(rest)) fprintf(stderr, "load: unknown trouble: %s\n", rest);
+    troubles[i] = NULL;
+  }
+}
+
+static void on_step(struct ev_loop *l, ev_timer *t, int events) {
+  static double last;
+  (void)l;
+  (void)t;
+  (void)events;
+  double now = tmx_now(), dt = last ? now - last : 0;
+  last = now;
+  begin_troubles(now);
+  nodes_tick();
+  fake_end_leases();
+  workers_step(now, dt);
+  if (submitting && now - begun_at > quiet_s) users_submit(dt);
+  users_step(now);
+}
+
+static void go_on(double s) { /* longer than one pump */
+  double until = tmx_now() + s;
+  while (tmx_now() < until) pump_for(until - tmx_now() < 5 ? until - tmx_now() : 5);
+}
+
+static void show(const char *when, double over) {
+  unsigned reads = 0;
+  struct users_figures u = users_take_figures();
+  struct workers_figures w = workers_take_figures();
+  printf("%-22s", when);
+  for (int k = 0; k < nodes; k++) {
+    double mb = 0, peak = 0, cpu = node[k].pid ? node_used(k, &mb, &peak) : 0;
+    printf("  %d: %.3f of a core, %.1f MB (%.1f)", k, (cpu - node[k].cpu) / over, mb, peak);
+    node[k].cpu = cpu;
+    reads += state.doors[k].reads;
+  }
+  printf("  | accepted %u, refused %u, polls %u of %u, tasks done %u", u.accepted, u.refused,
+         u.answered, u.asked, w.finished);
+  printf(
+      "  | slowest report %.2f s, accepted submission %.2f s; state: %.1f commits, %.1f reads a "
+      "second\n",
+      w.slowest_report, u.slowest_submission, (state.commits - state_commits) / over,
+      (reads - state_reads) / over);
+  state_commits = state.commits;
+  state_reads = reads;
+  fflush(stdout);
+}
+
+static void run_steady(void) {
+  go_on(5);
+  show("registering", 5);
+  go_on(20);
+  show("submissions begin", 20);
+  for (int i = 0; i < 2; i++) {
+    go_on(seconds);
+    show("steady", seconds);
+  }
+  if (!away) return;
+  for (int k = 0; k < nodes; k++) {
+    char text[32];
+    snprintf(text, sizeof text, "kill %d %d", k, k < away ? seconds + 10 : 0);
+    if (k < away) nodes_trouble(text);
+  }
+  go_on(10);
+  show("others take over", 10);
+  go_on(seconds);
+  show("all back", seconds);
+}
+
+static void run_surge(void) {
+  go_on(seconds);
+  show("surge", seconds);
+  users_print_table(seconds);
+  submitting = false;
+  go_on(settle_s);
+  users_ask_all();
+  for (double until = tmx_now() + final_s; tmx_now() < until && !users_all_told();) pump_for(0.5);
+}
+
+static void read_options(int argc, const char **argv) {
+  char *trouble = NULL;
+  const struct poptOption options[] = {
+      {"machines", 'm', POPT_ARG_INT, &machines, 0, "how many report", "N"},
+      {"nodes", 'n', POPT_ARG_INT, &nodes, 0, "controllers, 5 at most", "N"},
+      {"seconds", 's', POPT_ARG_INT, &seconds, 0, "of each phase", "N"},
+      {"services", 0, POPT_ARG_INT, &services, 0, "services of 6 replicas", "N"},
+      {"arrays", 0, POPT_ARG_INT, &arrays, 0, "arrays of 70 tasks a minute", "N"},
+      {"run", 0, POPT_ARG_DOUBLE, &run_s, 0, "mean run time, s", "S"},
+      {"report", 0, POPT_ARG_DOUBLE, &report_s, 0, "between reports, s", "S"},
+      {"away", 0, POPT_ARG_INT, &away, 0, "then end so many controllers for a time", "N"},
+      {"surge", 0, POPT_ARG_DOUBLE, &surge, 0, "instead: this many times what can be served", "X"},
+      {"seed", 0, POPT_ARG_INT, &seed, 0, "of the random numbers", "N"},
+      {"operator-config", 'o', POPT_ARG_STRING, &operator_config, 0, "of the controllers", "FILE"},
+      {"history", 0, POPT_ARG_STRING, &history_path, 0, "what all did, for check_history", "FILE"},
+      {"do", 0, POPT_ARG_STRING, &trouble, 'd',
+       "seconds and trouble: '30 kill 0 5', '30 pause 1 10', '30 cut state 2 5' (refuse, delay; "
+       "peers, users, workers)",
+       "TEXT"},
+      POPT_AUTOHELP POPT_TABLEEND};
+  poptContext pc = poptGetContext("load", argc, argv, options, 0);
+  int rc;
+  while ((rc = poptGetNextOpt(pc)) == 'd' && n_troubles < TROUBLES_MAX)
+    troubles[n_troubles++] = trouble;
+  if (rc != -1 || nodes < 1 || nodes > FAKE_NODES || machines < 1 || seconds < 1) {
+    fprintf(stderr, "load: %s\n", rc < -1 ? poptStrerror(rc) : "out of range");
+    exit(2);
+  }
+  poptFreeContext(pc);
+}
+
+static void raise_file_limit(void) {
+  struct rlimit files;
+  getrlimit(RLIMIT_NOFILE, &files);
+  files.rlim_cur = files.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &files);
+}
+
+int main(int argc, const char **argv) {
+  read_options(argc, argv);
+  raise_file_limit();
+  setenv("LOG_LEVEL", "error", 0);
+  cluster_rng = gsl_rng_alloc(gsl_rng_mt19937);
+  gsl_rng_set(cluster_rng, (unsigned long)seed);
+  fake_open();
+  fake_written = on_written;
+  history_open(history_path);
+  users_open(surge > 0 ? surge_kinds() : steady_kinds(), nodes);
+  nodes_open(nodes, operator_config, adjust, machines + SPARE_CONNECTIONS);
+  begun_at = tmx_now();
+  workers_open(&(struct workers_setup){.machines = machines,
+                                       .nodes = nodes,
+                                       .report_s = report_s,
+                                       .lease_s = 42,
+                                       .run_s = users_run_s,
+                                       .on_begin = users_task_began});
+  ev_timer t;
+  ev_timer_init(&t, on_step, 0, step_s);
+  ev_timer_start(loop, &t);
+  submitting = true;
+  if (surge > 0)
+    run_surge();
+  else
+    run_steady();
+  nodes_close();
+  history_close();
+  return 0;
+}
--- /dev/null
+++ b/tests/cluster/nodes.c
@@ -0,0 +1,205 @@
+#include "cluster/nodes.h"
+
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "cluster/link.h"
+#include "net/log.h"
+
+enum { TO_STATE, TO_PEERS, TO_USERS, TO_WORKERS, DESTINATIONS };
+static const char *const destinations[] = {"state", "peers", "users", "workers"};
+static const double delay_s =
+    0.3; /* of a delayed link: longer than a round, shorter than a lease */
+
+struct trouble {
+  double until; /* 0: there is none */
+};
+struct node node[FAKE_NODES];
+static int n_nodes;
+static const char *operator_path;
+static char settings_path[FAKE_NODES][64];
+static struct link *links[FAKE_NODES][DESTINATIONS + FAKE_NODES];
+static struct trouble troubles[FAKE_NODES][DESTINATIONS];
+
+/* The links that lead away from a controller to peers stand behind those to other destinations. */
+static struct link *peer_link(int from, int to) { return links[from][DESTINATIONS + to]; }
+
+static json_t *address(int port) { return json_sprintf("127.0.0.1:%d", port); }
+
+static json_t *cluster_json(const struct tmx_settings *s) {
+  json_t *teams = json_array(), *objectives = json_array();
+  for (size_t i = 0; i < s->n_teams; i++)
+    json_array_append_new(teams, json_pack("{ss sf sf}", "name", s->teams[i].name, "cpus",
+                                           s->teams[i].cpus, "cpus_max", s->teams[i].cpus_max));
+  for (size_t i = 0; i < s->n_objectives; i++)
+    json_array_append_new(
+        objectives, json_pack("{ss ss sf}", "kind", s->objectives[i].kind, "class",
+                              s->objectives[i].class_name, "within_s", s->objectives[i].within_s));
+  return json_pack("{s[s] so so s{sf sf sf} s{sf sf sf si} s{sf sf} s{sf sf si} sf}", "zones",
+                   s->zones[0], "teams", teams, "objectives", objectives, "workers", "report_s",
+                   s->report_s, "lease_s", s->lease_s, "cancel_s", s->cancel_s, "state", "rps",
+                   s->state_rps, "write_rps", s->write_rps, "value_kb", s->value_kb, "txn_ops",
+                   s->txn_ops, "cloud", "rps", s->cloud_rps, "list_lag_s", s->list_lag_s, "quota",
+                   "core_share", s->core_share, "ram_mb", s->ram_mb, "sockets", s->sockets,
+                   "clock_off_ms", 0.0);
+}
+
+static void write_settings(int k, const struct tmx_settings *s) {
+  json_t *peers = json_array();
+  for (int i = 0; i < n_nodes; i++)
+    if (i != k)
+      json_array_append_new(
+          peers, json_pack("{so ss so}", "host_name", json_sprintf("hand-%d", i), "location",
+                           s->zone, "address", address(link_port(peer_link(k, i)))));
+  json_t *root = json_pack(
+      "{ss ss so ss so s{so ss} so}", "host_name", s->node, "location", s->zone, "listen",
+      address(node[k].port), "peer_listen", s->peer_listen, "peers", peers, "services", "state",
+      address(link_port(links[k][TO_STATE])), "cloud", s->cloud, "cluster", cluster_json(s));
+  int fd = mkstemp(strcpy(settings_path[k], "/tmp/tmx-cluster-XXXXXX"));
+  FILE *f = fd >= 0 ? fdopen(fd, "w") : NULL;
+  if (!f || json_dumpf(root, f, 0)) abort();
+  fclose(f);
+  json_decref(root);
+}
+
+static int port_of(const char *addr) { return atoi(strchr(addr, ':') + 1); }
+
+void nodes_open(int n, const char *operator_config, void (*adjust)(struct tmx_settings *s),
+                int connections) {
+  static struct tmx_settings s[FAKE_NODES];
+  char addr[32];
+  n_nodes = n;
+  operator_path = operator_config;
+  for (int k = 0; k < n; k++) {
+    fake_settings(&s[k], k, n);
+    adjust(&s[k]);
+    node[k].port = fake_listen_port(k);
+  }
+  for (int k = 0; k < n; k++) {
+    links[k][TO_STATE] = link_new(loop, port_of(s[k].state));
+    links[k][TO_USERS] = link_new(loop, node[k].port);
+    links[k][TO_WORKERS] = link_new(loop, node[k].port);
+    for (int i = 0; i < n; i++)
+      if (i != k) links[k][DESTINATIONS + i] = link_new(loop, port_of(s[i].peer_listen));
+    write_settings(k, &s[k]);
+    snprintf(addr, sizeof addr, "127.0.0.1:%d", link_port(links[k][TO_USERS]));
+    node[k].users = tmx_client_new(loop, addr, 256);
+    snprintf(addr, sizeof addr, "127.0.0.1:%d", link_port(links[k][TO_WORKERS]));
+    node[k].reports = tmx_client_new(loop, addr, connections);
+    node_begin(k);
+  }
+}
+
+void node_begin(int k) {
+  fflush(NULL);
+  node[k].cpu = 0;
+  node[k].back_at = 0;
+  node[k].paused = false;
+  node[k].pid = fork();
+  if (node[k].pid) return;
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  if (operator_path)
+    execl(TMX_PROGRAM, TMX_PROGRAM, "--operator-config", operator_path, "--config",
+          settings_path[k], (char *)NULL);
+  else
+    execl(TMX_PROGRAM, TMX_PROGRAM, "--config", settings_path[k], (char *)NULL);
+  _exit(127);
+}
+
+static void end(int k) {
+  if (!node[k].pid) return;
+  kill(node[k].pid, SIGKILL);
+  waitpid(node[k].pid, NULL, 0);
+  node[k].pid = 0;
+}
+
+void nodes_close(void) {
+  for (int k = 0; k < n_nodes; k++) {
+    end(k);
+    remove(settings_path[k]);
+  }
+}
+
+static void set_links(int k, int destination, enum link_mode mode, double delay) {
+  if (destination != TO_PEERS) {
+    link_set(links[k][destination], mode, delay);
+    return;
+  }
+  for (int i = 0; i < n_nodes; i++) {
+    if (i == k) continue;
+    link_set(peer_link(k, i), mode, delay);
+    link_set(peer_link(i, k), mode, delay);
+  }
+}
+
+bool nodes_trouble(const char *text) {
+  char verb[16] = "", where[16] = "";
+  int k;
+  double for_s, now = tmx_now();
+  bool process = sscanf(text, "%15s %d %lf", verb, &k, &for_s) == 3;
+  if (!process && sscanf(text, "%15s %15s %d %lf", verb, where, &k, &for_s) != 4) return false;
+  if (k < 0 || k >= n_nodes) return false;
+  if (process) {
+    bool pause = !strcmp(verb, "pause");
+    if (!pause && strcmp(verb, "kill")) return false;
+    if (!node[k].pid) return true;
+    node[k].back_at = now + for_s;
+    node[k].paused = pause;
+    if (pause)
+      kill(node[k].pid, SIGSTOP);
+    else
+      end(k);
+    return true;
+  }
+  int to = 0;
+  while (to < DESTINATIONS && strcmp(where, destinations[to])) to++;
+  bool refuse = !strcmp(verb, "refuse"), cut = !strcmp(verb, "cut"), slow = !strcmp(verb, "delay");
+  if (to == DESTINATIONS || !(refuse || cut || slow)) return false;
+  set_links(k, to, refuse ? LINK_REFUSED : cut ? LINK_CUT : LINK_OPEN, slow ? delay_s : 0);
+  troubles[k][to].until = now + for_s;
+  return true;
+}
+
+void nodes_tick(void) {
+  double now = tmx_now();
+  for (int k = 0; k < n_nodes; k++) {
+    for (int to = 0; to < DESTINATIONS; to++) {
+      if (!troubles[k][to].until || now < troubles[k][to].until) continue;
+      troubles[k][to].until = 0;
+      set_links(k, to, LINK_OPEN, 0);
+    }
+    if (!node[k].back_at || now < node[k].back_at) continue;
+    if (!node[k].pid) {
+      node_begin(k);
+      continue;
+    }
+    kill(node[k].pid, SIGCONT);
+    node[k].back_at = 0;
+    node[k].paused = false;
+  }
+}
+
+double node_used(int k, double *mb, double *peak) {
+  char path[64], line[512];
+  unsigned long user = 0, sys = 0;
+  snprintf(path, sizeof path, "/proc/%d/stat", node[k].pid);
+  FILE *f = fopen(path, "r");
+  if (f && fgets(line, sizeof line, f))
+    sscanf(strrchr(line, ')') + 2, "%*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu", &user,
+           &sys);
+  if (f) fclose(f);
+  snprintf(path, sizeof path, "/proc/%d/status", node[k].pid);
+  f = fopen(path, "r");
+  while (f && fgets(line, sizeof line, f)) {
+    if (!strncmp(line, "VmRSS:", 6)) *mb = atof(line + 6) / 1024;
+    if (!strncmp(line, "VmHWM:", 6)) *peak = atof(line + 6) / 1024;
+  }
+  if (f) fclose(f);
+  return (double)(user + sys) / (double)sysconf(_SC_CLK_TCK);
+}
--- /dev/null
+++ b/tests/cluster/small_surge.sh
@@ -0,0 +1,10 @@
+#!/bin/sh
+# small_surge.sh LOAD CHECK_HISTORY: a short surge at three controllers, and the verdict on its history.
+set -eu
+folder=$(dirname "$0")
+history=$(mktemp)
+trap 'rm -f "$history"' EXIT
+"$1" --machines 6 --nodes 3 --seconds 20 --report 1 --surge 2 -o "$folder/surge.toml" \
+  --history "$history" --do "8 kill 0 4" --do "10 pause 1 4" --do "12 delay peers 2 3" \
+  --do "14 refuse state 2 2" --do "16 cut workers 0 2"
+"$2" "$history"
--- /dev/null
+++ b/tests/cluster/users.c
@@ -0,0 +1,239 @@
+#include "cluster/users.h"
+
+#include <gsl/gsl_rng.h>
+#include <gsl/gsl_sort.h>
+#include <gsl/gsl_statistics.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cluster/history.h"
+#include "cluster/nodes.h"
+#include "core/plan.h"
+#include "net/log.h"
+#include "tmx/wire.h"
+
+enum { KINDS_MAX = 8 };
+static const double submit_for_s = 60, submit_timeout_s = 5, poll_timeout_s = 2, poll_every_s = 5;
+
+struct job {
+  char id[TMX_ID_MAX];
+  const struct job_kind *kind;
+  double first_at, asked_at, next_at; /* first attempt; latest question; next one */
+  double began_at;                    /* its first task began; 0: not yet */
+  bool accepted, over, gave_up, busy, told_at_the_end;
+};
+struct kind_state {
+  unsigned submitted, refusals;
+  double due;           /* jobs */
+  double last_start;    /* of a task */
+  double longest_gap;   /* s without a start while an accepted job had not begun */
+  double waiting_since; /* 0: no accepted job waits for its first task */
+};
+static const struct job_kind *kinds;
+static struct kind_state states[KINDS_MAX];
+static struct job **jobs;
+static size_t n_jobs, cap_jobs;
+static int n_nodes;
+static bool final_round;
+static struct users_figures figures;
+extern gsl_rng *cluster_rng;
+
+static const struct job_kind *kind_of(const char *id) {
+  const struct job_kind *kind = kinds;
+  while (kind->letter && kind->letter != id[strlen(W_JOB_PREFIX)]) kind++;
+  return kind;
+}
+
+double users_run_s(const char *task) { return kind_of(task)->run_s; }
+
+static struct kind_state *state_of(const struct job *job) { return &states[job->kind - kinds]; }
+
+/* ------------------------------------------------------------ starts */
+
+static void look_at_gap(struct kind_state *s, double now) {
+  if (s->waiting_since)
+    s->longest_gap = fmax(s->longest_gap, now - fmax(s->waiting_since, s->last_start));
+}
+
+void users_task_began(const char *task) {
+  unsigned long number = strtoul(task + strlen(W_JOB_PREFIX) + 1, NULL, 10);
+  if (number >= n_jobs) return;
+  struct job *job = jobs[number];
+  double now = tmx_now();
+  look_at_gap(state_of(job), now);
+  state_of(job)->last_start = now;
+  if (!job->began_at) job->began_at = now;
+}
+
+/* ------------------------------------------------------------ requests */
+
+static struct tmx_client *some_node(void) {
+  return node[gsl_rng_uniform_int(cluster_rng, (unsigned long)n_nodes)].users;
+}
+
+static void read_state(const uint8_t *body, size_t len, char *state, size_t cap) {
+  cbor_item_t *m = tmx_cbor_parse(body, len);
+  state[0] = 0;
+  tmx_r_kstr(m, W_STATE, state, cap);
+  tmx_cbor_free(m);
+}
+
+static void on_submitted(void *arg, int status, const uint8_t *body, size_t len) {
+  struct job *job = arg;
+  char state[16];
+  double now = tmx_now();
+  read_state(body, len, state, sizeof state);
+  history_answer("submit", job->id, job->kind->tasks, status, state, final_round);
+  job->busy = false;
+  if (status == 200 || status == 201) {
+    figures.accepted++;
+    figures.slowest_submission = fmax(figures.slowest_submission, now - job->asked_at);
+    job->accepted = true;
+    job->next_at = now + poll_every_s * gsl_rng_uniform(cluster_rng);
+    return;
+  }
+  figures.refused++;
+  state_of(job)->refusals += status == 503;
+  job->next_at = now + 1 + 4 * gsl_rng_uniform(cluster_rng);
+  job->gave_up = now - job->first_at > submit_for_s;
+}
+
+static void send_submission(struct job *job) {
+  const struct job_kind *k = job->kind;
+  struct fake_job body = {.id = job->id,
+                          .kind = k->kind,
+                          .class = k->class_name,
+                          .team = k->team,
+                          .priority = k->priority,
+                          .tasks = k->tasks,
+                          .cpus = k->cpus,
+                          .estimate_s = k->run_s};
+  struct tmx_buf b = {0};
+  submission_of(&b, &body);
+  job->asked_at = tmx_now();
+  job->busy =
+      tmx_client_call(some_node(), "POST", WP_JOBS, &b, submit_timeout_s, on_submitted, job);
+  if (!job->busy) job->next_at = job->asked_at + 1;
+  tmx_buf_free(&b);
+}
+
+static void on_polled(void *arg, int status, const uint8_t *body, size_t len) {
+  struct job *job = arg;
+  char state[16];
+  read_state(body, len, state, sizeof state);
+  history_answer("poll", job->id, job->kind->tasks, status, state, final_round);
+  job->busy = false;
+  job->next_at = tmx_now() + (final_round ? 0.2 : poll_every_s);
+  figures.answered += status == 200;
+  job->over |= status == 200 && !strcmp(state, WV_DONE);
+  job->told_at_the_end |= final_round && status == 200;
+}
+
+static void poll_state(struct job *job) {
+  char path[64];
+  snprintf(path, sizeof path, WP_JOBS "/%s", job->id);
+  job->busy = tmx_client_call(some_node(), "GET", path, NULL, poll_timeout_s, on_polled, job);
+  figures.asked += job->busy;
+  if (!job->busy) job->next_at = tmx_now() + 1;
+}
+
+/* ------------------------------------------------------------ steps */
+
+void users_open(const struct job_kind *wanted, int nodes) {
+  kinds = wanted;
+  n_nodes = nodes;
+}
+
+static void make_job(const struct job_kind *kind) {
+  struct job *job = calloc(1, sizeof *job);
+  if (!job) abort();
+  snprintf(job->id, sizeof job->id, W_JOB_PREFIX "%c%06zu", kind->letter, n_jobs);
+  job->kind = kind;
+  job->first_at = tmx_now();
+  jobs = tmx_grow(jobs, &cap_jobs, n_jobs + 1, sizeof *jobs);
+  jobs[n_jobs++] = job;
+  state_of(job)->submitted++;
+  send_submission(job);
+}
+
+void users_submit(double dt) {
+  for (const struct job_kind *kind = kinds; kind->letter; kind++) {
+    struct kind_state *s = &states[kind - kinds];
+    for (int i = 0; i < 5 && s->submitted < kind->at_start; i++) make_job(kind);
+    for (s->due += dt * kind->per_s; s->due >= 1; s->due--) make_job(kind);
+  }
+}
+
+void users_step(double now) {
+  bool waits[KINDS_MAX] = {false};
+  for (size_t i = 0; i < n_jobs; i++) {
+    struct job *job = jobs[i];
+    waits[job->kind - kinds] |= job->accepted && !job->began_at;
+    bool wanted =
+        final_round ? job->accepted && !job->told_at_the_end : !job->over && !job->gave_up;
+    if (!wanted || job->busy || now < job->next_at) continue;
+    if (job->accepted)
+      poll_state(job);
+    else
+      send_submission(job);
+  }
+  for (const struct job_kind *kind = kinds; kind->letter; kind++) {
+    struct kind_state *s = &states[kind - kinds];
+    look_at_gap(s, now);
+    if (!waits[kind - kinds])
+      s->waiting_since = 0;
+    else if (!s->waiting_since)
+      s->waiting_since = now;
+  }
+}
+
+void users_ask_all(void) {
+  final_round = true;
+  for (size_t i = 0; i < n_jobs; i++) jobs[i]->next_at = 0;
+}
+
+bool users_all_told(void) {
+  for (size_t i = 0; i < n_jobs; i++)
+    if (jobs[i]->busy || (jobs[i]->accepted && !jobs[i]->told_at_the_end)) return false;
+  return true;
+}
+
+struct users_figures users_take_figures(void) {
+  struct users_figures taken = figures;
+  figures.slowest_submission = 0;
+  return taken;
+}
+
+/* ------------------------------------------------------------ table */
+
+static void print_kind(const struct job_kind *kind, double now) {
+  const struct kind_state *s = &states[kind - kinds];
+  double *waits = calloc(n_jobs + 1, sizeof *waits), oldest = 0;
+  size_t n = 0;
+  unsigned accepted = 0, gave_up = 0;
+  if (!waits) abort();
+  for (size_t i = 0; i < n_jobs; i++) {
+    const struct job *job = jobs[i];
+    if (job->kind != kind) continue;
+    accepted += job->accepted;
+    gave_up += job->gave_up;
+    if (job->began_at) waits[n++] = job->began_at - job->first_at;
+    if (job->accepted && !job->began_at) oldest = fmax(oldest, now - job->first_at);
+  }
+  gsl_sort(waits, 1, n);
+  printf("%-8s %-8s %9u %8u %8u %7u %6zu %7.1f %7.1f %7.1f %7.1f %7.1f\n", kind->team,
+         kind->class_name, s->submitted, accepted, s->refusals, gave_up, n,
+         n ? gsl_stats_quantile_from_sorted_data(waits, 1, n, 0.5) : 0,
+         n ? gsl_stats_quantile_from_sorted_data(waits, 1, n, 0.99) : 0, n ? waits[n - 1] : 0,
+         oldest, s->longest_gap);
+  free(waits);
+}
+
+void users_print_table(double lasted_s) {
+  printf("%.0f s; waits from the first attempt to the first task, s\n", lasted_s);
+  printf("%-8s %-8s %9s %8s %8s %7s %6s %7s %7s %7s %7s %7s\n", "team", "class", "submitted",
+         "accepted", "refusals", "gave up", "began", "median", "99%", "most", "waiting", "gap");
+  for (const struct job_kind *kind = kinds; kind->letter; kind++) print_kind(kind, tmx_now());
+}
--- /dev/null
+++ b/tests/cluster/workers.c
@@ -0,0 +1,150 @@
+#include "cluster/workers.h"
+
+#include <gsl/gsl_rng.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cluster/history.h"
+#include "cluster/nodes.h"
+#include "net/log.h"
+#include "tmx/wire.h"
+
+struct worker {
+  struct fake_worker w;
+  int at; /* the node that it reports to */
+  bool busy;
+  double due, sent, renewed; /* next report, the latest one, the latest one that was answered */
+  struct fake_worker before; /* its tasks when they were last looked at */
+};
+static struct workers_setup setup;
+static struct worker *workers;
+static struct workers_figures figures;
+extern gsl_rng *cluster_rng;
+
+/* Tells of tasks that came and went since the last look. */
+static void note_changes(struct worker *x) {
+  struct fake_worker *was = &x->before, *is = &x->w;
+  for (size_t i = 0; i < is->n_loads; i++) {
+    size_t k = 0;
+    while (k < was->n_loads && (strcmp(was->loads[k].task, is->loads[i].task) ||
+                                was->loads[k].attempt != is->loads[i].attempt))
+      k++;
+    bool runs = !strcmp(is->loads[i].state, WV_RUNNING);
+    bool ran = k < was->n_loads && !strcmp(was->loads[k].state, WV_RUNNING);
+    if (runs && !ran) {
+      history_begin(is->id, is->loads[i].task, is->loads[i].attempt);
+      if (setup.on_begin) setup.on_begin(is->loads[i].task);
+    } else if (ran && !runs) {
+      history_end(is->id, is->loads[i].task, is->loads[i].attempt, is->loads[i].why);
+    }
+  }
+  x->before = x->w;
+}
+
+static void note_orders(const struct worker *x, int by, uint64_t token) {
+  for (size_t i = 0; i < x->w.n_orders; i++)
+    history_order(x->w.id, by, token, x->w.orders[i].op, x->w.orders[i].task,
+                  x->w.orders[i].attempt);
+}
+
+static void on_report(void *arg, int status, const uint8_t *body, size_t len) {
+  struct worker *x = arg;
+  double now = tmx_now();
+  x->busy = false;
+  figures.slowest_report = fmax(figures.slowest_report, now - x->sent);
+  if (status != 200 && status != 421) {
+    x->at = (x->at + 1) % setup.nodes;
+    x->due = now + 1;
+    return;
+  }
+  uint64_t had_token = x->w.token;
+  worker_answered(&x->w, status, body, len);
+  if (status == 421) {
+    int to = x->w.move_to[0] ? atoi(x->w.move_to + 5) : -1;
+    x->due = now + (to < 0 || to == x->at ? 1 : 0.2);
+    x->at = to < 0 ? (x->at + 1) % setup.nodes : to;
+    return;
+  }
+  x->due = now + setup.report_s * (0.75 + 0.5 * gsl_rng_uniform(cluster_rng));
+  if (x->w.answer_token < had_token) return; /* dropped */
+  x->renewed = x->sent;
+  unsigned had = x->w.executed_starts;
+  note_orders(x, x->at, x->w.answer_token);
+  worker_do(&x->w);
+  note_changes(x);
+  if (x->w.executed_starts != had) x->due = now + 0.5;
+}
+
+/* A direct command: the sender is told by the term of its token alone. */
+static void on_command(struct fake_worker *w, uint64_t token) {
+  (void)token;
+  struct worker *x = (struct worker *)((char *)w - offsetof(struct worker, w));
+  note_changes(x);
+}
+
+static void run_tasks(struct worker *x, double now, double dt) {
+  char task[sizeof x->w.loads[0].task];
+  for (size_t i = 0; i < x->w.n_loads; i++) {
+    double run_s = setup.run_s(x->w.loads[i].task);
+    if (run_s <= 0 || strcmp(x->w.loads[i].state, WV_RUNNING) ||
+        gsl_rng_uniform(cluster_rng) > dt / run_s)
+      continue;
+    memcpy(task, x->w.loads[i].task, sizeof task);
+    worker_set(&x->w, task, x->w.loads[i].attempt, WV_EXITED, WV_DONE);
+    if (x->due > now + 0.5) x->due = now + 0.5;
+    figures.finished++;
+  }
+}
+
+static void end_session(struct worker *x, double now) {
+  for (size_t i = 0; i < x->w.n_loads; i++)
+    if (!strcmp(x->w.loads[i].state, WV_RUNNING))
+      history_end(x->w.id, x->w.loads[i].task, x->w.loads[i].attempt, "lease");
+  x->w.n_loads = x->before.n_loads = 0;
+  x->w.session++;
+  x->renewed = now;
+}
+
+static void send_report(struct worker *x, double now) {
+  struct tmx_buf b = {0};
+  x->w.seq++;
+  worker_encode(&x->w, &b);
+  x->busy = tmx_client_call(node[x->at].reports, "POST", WP_REPORT, &b, 4, on_report, x);
+  x->sent = now;
+  if (!x->busy) x->due = now + 1;
+  tmx_buf_free(&b);
+}
+
+void workers_step(double now, double dt) {
+  for (int i = 0; i < setup.machines; i++) {
+    struct worker *x = &workers[i];
+    run_tasks(x, now, dt);
+    note_changes(x);
+    if (now - x->renewed > setup.lease_s) end_session(x, now);
+    if (!x->busy && now >= x->due && now - x->sent >= 0.5) send_report(x, now);
+  }
+}
+
+void workers_open(const struct workers_setup *wanted) {
+  char id[32];
+  double now = tmx_now();
+  setup = *wanted;
+  workers = calloc((size_t)setup.machines, sizeof *workers);
+  if (!workers) abort();
+  for (int i = 0; i < setup.machines; i++) {
+    snprintf(id, sizeof id, "n-%06d", i + 1);
+    worker_open(&workers[i].w, id);
+    workers[i].w.on_command = on_command;
+    workers[i].at = i % setup.nodes;
+    workers[i].renewed = now;
+    workers[i].due = now + setup.report_s * gsl_rng_uniform(cluster_rng);
+  }
+}
+
+struct workers_figures workers_take_figures(void) {
+  struct workers_figures taken = figures;
+  figures.slowest_report = 0;
+  return taken;
+}
--- a/tests/fake.c
+++ b/tests/fake.c
@@ -17,7 +17,9 @@
 struct fake_cloud cloud;
 bool fake_apart;
 void (*fake_adjust)(struct tmx_settings *s);
-static int ports[FAKE_NODES][2]; /* port, and the socket that reserves it */
+void (*fake_written)(const char *key, const uint8_t *value, size_t len);
+static int ports[FAKE_NODES][2];     /* of heartbeats: port, and the socket that reserves it */
+static int listeners[FAKE_NODES][2]; /* of users and workers */
 
 /* ------------------------------------------------------------ running the loop */
 
@@ -86,6 +88,7 @@
   e->stamp = state.rev;
   e->lease = lease;
   event(key, v, len);
+  if (fake_written) fake_written(key, v, len);
 }
 static void drop(const char *key) {
   struct fake_entry *e = find(key);
@@ -218,11 +221,52 @@
   return false;
 }
 
+static bool is_over(uint64_t lease) {
+  if (lease <= state.lapsed) return true;
+  return state.lease_until && state.lease_until[lease] < tmx_now();
+}
+
+enum { LEASES_MAX = 4096 };
+
+static void renew(uint64_t lease) {
+  if (state.lease_until && lease < LEASES_MAX)
+    state.lease_until[lease] = tmx_now() + TMX_LEASE_TTL_MS / 1000.0;
+}
+
+void fake_end_leases(void) {
+  if (!state.lease_until) {
+    state.lease_until = calloc(LEASES_MAX, sizeof *state.lease_until);
+    for (uint64_t i = 0; i <= state.leases; i++) renew(i);
+  }
+  for (size_t i = 0; i < state.n_e; i++) {
+    if (!state.e[i].lease || !is_over(state.e[i].lease)) continue;
+    char key[TMX_KEY_MAX + 1];
+    memcpy(key, state.e[i].key, sizeof key);
+    fake_drop(key);
+    return; /* the next one at the next call */
+  }
+}
+
+static void answer_lease(struct tmx_req *q) {
+  struct tmx_buf b = {0};
+  uint64_t lease =
+      strtoull(q->path + strlen(WP_LEASES) + (q->path[strlen(WP_LEASES)] == '/'), NULL, 10);
+  if (lease && state.lease_until && is_over(lease)) {
+    tmx_req_reply(q, 404, NULL, 0);
+    return;
+  }
+  if (!lease) lease = ++state.leases;
+  renew(lease);
+  tmx_w_map(&b, 1);
+  tmx_w_ku64(&b, W_LEASE, lease);
+  tmx_req_reply(q, 200, &b, 0);
+  tmx_buf_free(&b);
+}
+
 static bool uses_lapsed(const cbor_item_t *then) {
   uint64_t lease;
   for (size_t i = 0; i < tmx_r_len(then); i++)
-    if (tmx_r_ku64(tmx_r_at(then, i), W_LEASE, &lease) && lease && lease <= state.lapsed)
-      return true;
+    if (tmx_r_ku64(tmx_r_at(then, i), W_LEASE, &lease) && lease && is_over(lease)) return true;
   return false;
 }
 
@@ -395,11 +439,7 @@
   } else if (!strcmp(q->path, WP_TXN)) {
     txn(d, q, q->body, q->body_len);
   } else if (!strncmp(q->path, WP_LEASES, strlen(WP_LEASES))) {
-    struct tmx_buf b = {0};
-    tmx_w_map(&b, 1);
-    tmx_w_ku64(&b, W_LEASE, ++state.leases);
-    tmx_req_reply(q, 200, &b, 0);
-    tmx_buf_free(&b);
+    answer_lease(q);
   } else if (from && d->hold_from[0] && !strncmp(from + 5, d->hold_from, strlen(d->hold_from))) {
     d->held_read = q;
   } else {
@@ -553,6 +593,7 @@
     if (i < w->n_loads) w->loads[i] = w->loads[--w->n_loads];
     return;
   }
+  assert_in_range(i, 0, FAKE_LOADS - 1);
   if (i == w->n_loads) w->n_loads++;
   snprintf(w->loads[i].task, sizeof w->loads[i].task, "%s", task);
   snprintf(w->loads[i].state, sizeof w->loads[i].state, "%s", st);
@@ -612,6 +653,7 @@
       w->token = token;
       take_orders(w, m);
       worker_do(w);
+      if (w->on_command) w->on_command(w, token);
     }
     tmx_cbor_free(m);
   }
@@ -728,7 +770,7 @@
   tmx_w_kstr(b, W_CLASS, job->class ? job->class : "c");
   tmx_w_kstr(b, W_TEAM, job->team);
   tmx_w_kstr(b, W_KIND, job->kind ? job->kind : WV_ARRAY);
-  tmx_w_kstr(b, W_PRIORITY, "normal");
+  tmx_w_kstr(b, W_PRIORITY, job->priority ? job->priority : "normal");
   tmx_w_ku64(b, W_TASKS, job->tasks);
   tmx_w_knum(b, W_CPUS, job->cpus);
   tmx_w_knum(b, W_GPUS, 0);
@@ -791,6 +833,11 @@
   return ntohs(at.sin_port);
 }
 
+int fake_listen_port(int k) {
+  if (!listeners[k][0]) listeners[k][0] = reserve_port(&listeners[k][1]);
+  return listeners[k][0];
+}
+
 void fake_settings(struct tmx_settings *s, int k, int of) {
   memset(s, 0, sizeof *s);
   tmx_operator_defaults(&s->op);
@@ -886,5 +933,6 @@
   for (size_t i = 0; i < state.n_ev; i++) free(state.ev[i].value);
   free(state.e);
   free(state.ev);
+  free(state.lease_until);
   memset(&state, 0, sizeof state);
 }
--- a/tests/fake.h
+++ b/tests/fake.h
@@ -9,6 +9,7 @@
 #include "controller.h"
 
 #define FAKE_NODES 5
+#define FAKE_LOADS 64 /* tasks that a worker shows, those that ended included */
 
 struct fake_entry {
   char key[TMX_KEY_MAX + 1];
@@ -56,7 +57,8 @@
   struct fake_watch w[32];
   size_t n_w;
   uint64_t rev, leases;
-  uint64_t lapsed; /* leases up to this one are over: puts with them are refused */
+  double *lease_until; /* steady clock, s, by lease; NULL: leases end only when a test says so */
+  uint64_t lapsed;     /* leases up to this one are over: puts with them are refused */
   unsigned lapsed_puts;
   unsigned commits, conflicts;
   size_t value_max; /* bytes as JSON; 0: no limit */
@@ -86,7 +88,7 @@
   struct {
     char task[48], state[12], why[12];
     uint32_t attempt;
-  } loads[32];
+  } loads[FAKE_LOADS];
   size_t n_loads;
   /* the latest answer to a report */
   int status;
@@ -96,6 +98,7 @@
   size_t n_orders;
   unsigned commands;
   unsigned executed_starts;
+  void (*on_command)(struct fake_worker *w, uint64_t token); /* executed; NULL: nobody is told */
 };
 struct fake_answer {
   bool done;
@@ -112,6 +115,9 @@
 
 void fake_open(void);
 void fake_close(void);
+/* Called for every key that is written; NULL: nobody is told. */
+extern void (*fake_written)(const char *key, const uint8_t *value, size_t len);
+int fake_listen_port(int k); /* reserved for the users and workers of hand-k's process */
 void fake_settings(struct tmx_settings *s, int k, int of); /* of hand-k among `of` controllers */
 struct tmx_ctl *controller(int k, int of);
 void controller_end(struct tmx_ctl *c); /* it ends without a word, as a killed process does */
@@ -124,6 +130,8 @@
 int fake_late(
     struct fake_door *d); /* carries the late transaction out: 200, 409; 0: there is none */
 void fake_read_on(struct fake_door *d);
+void fake_end_leases(
+    void); /* from the first call on leases end when they are not renewed in time */
 void fake_put(const char *key, const struct tmx_buf *value); /* as another client would */
 void fake_drop(const char *key);
 const struct fake_entry *fake_get(const char *key);
@@ -141,7 +149,7 @@
                 const char *why);
 
 struct fake_job { /* a submission; what is left out is 0, an array of class "c" that runs 10 s */
-  const char *id, *kind, *class, *team;
+  const char *id, *kind, *class, *team, *priority;
   uint32_t tasks;
   double cpus, estimate_s;
   const struct tmx_buf *awaits; /* the encoded list; NULL: none */
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -275,7 +275,7 @@
   return n;
 }
 static double backlog_of(const struct tmx_ctl *c) {
-  struct tmx_rates one_per_s = {{1, 1, 1, 0, 0}};
+  struct tmx_rates one_per_s = {{1, 1, 1}};
   return tmx_total_seconds(c->rep.backlog, &one_per_s);
 }
 
--- /dev/null
+++ b/tests/test_history.c
@@ -0,0 +1,93 @@
+/* The checker of histories: one that breaks no rule, and one for each rule that breaks just it. */
+#include "test.h"
+
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "cluster/history.h"
+#include "tmx/constants.h"
+
+#define ACCEPTED                                                                         \
+  "{\"what\":\"answer\",\"ask\":\"submit\",\"job\":\"wk-1\",\"tasks\":1,\"status\":201," \
+  "\"state\":\"pending\",\"final\":false}\n"
+#define POLLED(status, state, final)                                                      \
+  "{\"what\":\"answer\",\"ask\":\"poll\",\"job\":\"wk-1\",\"tasks\":1,\"status\":" status \
+  ",\"state\":\"" state "\",\"final\":" final "}\n"
+#define PLACED(machine, attempt)                                                                  \
+  "{\"what\":\"placed\",\"task\":\"wk-1/0\",\"attempt\":" attempt ",\"machine\":\"" machine "\"}" \
+                                                                                            "\n"
+#define ORDER(node, token)                                                     \
+  "{\"what\":\"order\",\"machine\":\"n-1\",\"node\":" node ",\"token\":" token \
+  ",\"verb\":\"start\",\"task\":\"wk-1/0\",\"attempt\":1}\n"
+#define BEGIN(machine, attempt) \
+  "{\"what\":\"begin\",\"machine\":\"" machine "\",\"task\":\"wk-1/0\",\"attempt\":" attempt "}\n"
+#define END(how) \
+  "{\"what\":\"end\",\"machine\":\"n-1\",\"task\":\"wk-1/0\",\"attempt\":1,\"how\":\"" how "\"}\n"
+#define TERM_2 "33554432" /* 2 << TMX_BUMP_BITS */
+#define TERM_2_RAISED "33554433"
+#define TERM_1 "16777216"
+
+static struct history_findings check(const char *text) {
+  char copy[4096];
+  snprintf(copy, sizeof copy, "%s", text);
+  FILE *in = fmemopen(copy, strlen(copy), "r"), *out = fopen("/dev/null", "w");
+  assert_non_null(in);
+  assert_non_null(out);
+  struct history_findings f = history_check(in, out);
+  fclose(in);
+  fclose(out);
+  return f;
+}
+
+static void a_history_in_order_breaks_nothing(void **st) {
+  (void)st;
+  struct history_findings f =
+      check(ACCEPTED PLACED("n-1", "1") ORDER("0", TERM_1) BEGIN("n-1", "1")
+                POLLED("200", "running", "false") END("done") ORDER("1", TERM_2)
+                    ORDER("1", TERM_2_RAISED) POLLED("200", "done", "false")
+                        POLLED("503", "", "false") POLLED("200", "done", "true"));
+  assert_int_equal(f.lines, 11);
+  assert_int_equal(history_broken(&f), 0);
+  /* a task that ended without a result is begun once more, as the log says */
+  f = check(ACCEPTED PLACED("n-1", "1") BEGIN("n-1", "1") END("lease") PLACED("n-2", "2")
+                BEGIN("n-2", "2") POLLED("200", "running", "true"));
+  assert_int_equal(history_broken(&f), 0);
+}
+
+static void each_rule_is_found_broken(void **st) {
+  (void)st;
+  static const struct {
+    size_t rule;
+    const char *text;
+  } broken[] = {
+      {offsetof(struct history_findings, unreadable), "{\n"},
+      {offsetof(struct history_findings, lost), ACCEPTED POLLED("503", "", "true")},
+      {offsetof(struct history_findings, overlaps),
+       PLACED("n-1", "1") BEGIN("n-1", "1") PLACED("n-2", "2") BEGIN("n-2", "2")},
+      {offsetof(struct history_findings, two_owners), ORDER("0", TERM_1) ORDER("1", TERM_1)},
+      {offsetof(struct history_findings, two_owners), ORDER("0", TERM_2) ORDER("1", TERM_1)},
+      {offsetof(struct history_findings, unplanned), BEGIN("n-1", "1")},
+      {offsetof(struct history_findings, unplanned), PLACED("n-2", "1") BEGIN("n-1", "1")},
+      {offsetof(struct history_findings, unplanned), PLACED("n-1", "2") BEGIN("n-1", "1")},
+      {offsetof(struct history_findings, went_back),
+       ACCEPTED POLLED("404", "", "false") POLLED("200", "pending", "true")},
+      {offsetof(struct history_findings, went_back),
+       ACCEPTED PLACED("n-1", "1") BEGIN("n-1", "1") END("done") POLLED("200", "done", "true")
+           POLLED("200", "running", "true")},
+      {offsetof(struct history_findings, not_done),
+       ACCEPTED PLACED("n-1", "1") BEGIN("n-1", "1") POLLED("200", "done", "true")},
+      {offsetof(struct history_findings, not_done), ACCEPTED POLLED("200", "withdrawn", "true")},
+  };
+  for (size_t i = 0; i < sizeof broken / sizeof *broken; i++) {
+    struct history_findings f = check(broken[i].text);
+    assert_int_equal(*(unsigned *)((char *)&f + broken[i].rule), 1);
+    assert_int_equal(history_broken(&f), 1);
+  }
+}
+
+int main(void) {
+  const struct CMUnitTest tests[] = {cmocka_unit_test(a_history_in_order_breaks_nothing),
+                                     cmocka_unit_test(each_rule_is_found_broken)};
+  return cmocka_run_group_tests(tests, NULL, NULL);
+}
