A record above a lowered limit no longer holds up folding; a machine is kept for large tasks

Cause: a job accepted under larger limits of the state (over 25 named types at 1 KB) fitted into no page, and the fold stopped there for good. Its class's turn also came to nothing where its tasks are larger than what ends around them. Ruled out: dropping types that the catalog lacks (it may gain them), the job's own key (the same limit holds). Change: types that have no room in the record follow in lines; an older version takes the job for one that allows fewer. A record that fits even so nowhere gives the fold up with a line in the log. While a class's turn is due and finds no room, the leader places nothing on the emptiest machine of its own part. plan.c, replica.c and the tests' fake.c are parted into files with one job.

--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -214,6 +214,8 @@
 #define TMX_ADMISSION_RESERVE 0.5
 /* s: a class whose work waits gets a start this often, whatever else is asked for */
 #define TMX_ADMISSION_START_S 45.0
+/* machines kept free in a round for classes whose turn it is and that found no room */
+#define TMX_KEPT_MAX 16
 /* s: longer than any process runs */
 #define TMX_NEVER_S 1.0e9
 /* a party may take four fifths of what the others leave of a pool */
--- a/src/state/fold.c
+++ b/src/state/fold.c
@@ -25,7 +25,8 @@
     size_t machine, job;
     uint32_t task;
     bool recorded;   /* the job's record is written ... */
-    uint32_t awaits; /* ... and of the ids that it names, so many */
+    uint32_t awaits; /* ... and of the ids that it names, so many ... */
+    size_t types;    /* ... and of the machine types that it allows */
   } at, sent;
 };
 
@@ -68,9 +69,22 @@
 static void next_job(struct place *at) {
   at->job++;
   at->task = at->awaits = 0;
+  at->types = 0;
   at->recorded = false;
 }
 
+/* A record that was accepted under larger limits may exceed the present ones: types that have no
+ * room in it follow in lines. */
+static void write_record(const struct tmx_fold *f, struct place *at, const struct tmx_job *j,
+                         struct tmx_buf *job) {
+  size_t room = tmx_value_room(&f->c->set);
+  struct tmx_spec part = j->spec;
+  part.n_types = tmx_job_types_within(j->id, &j->spec, j->submitted, &j->deps.named, room);
+  at->awaits = tmx_job_encode_open(job, j->id, &part, j->submitted, &j->deps.named, room);
+  at->types = part.n_types;
+  at->recorded = true;
+}
+
 /* What comes next in the pages, a line or an encoded job; false: nothing. */
 static bool next_line(struct tmx_fold *f, struct place *at, char *line, size_t cap,
                       struct tmx_buf *job) {
@@ -86,9 +100,11 @@
     const struct tmx_job *j = tmx_job_find(r, f->jobs[at->job]);
     if (!j || !counts(j)) continue;
     if (!at->recorded) {
-      at->awaits = tmx_job_encode_open(job, j->id, &j->spec, j->submitted, &j->deps.named,
-                                       tmx_value_room(&f->c->set));
-      at->recorded = true;
+      write_record(f, at, j, job);
+      return true;
+    }
+    if (at->types < j->spec.n_types) {
+      tmx_type_print(line, cap, j->id, j->spec.types[at->types++]);
       return true;
     }
     if (at->awaits < j->deps.named.n) {
@@ -161,7 +177,12 @@
   }
   tmx_buf_free(&t.conds);
   tmx_buf_free(&t.ops);
-  if (!more) f->step = MARK;
+  if (!more) {
+    f->step = MARK;
+  } else if (puts > 0 && all == 0) {
+    tmx_log(TMX_ERROR, "fold: given up, %s exceeds a value", f->jobs[at.job]);
+    f->step = IDLE;
+  }
 }
 
 static void on_mark(void *arg, int res, uint64_t rev) {
--- a/src/state/lines.c
+++ b/src/state/lines.c
@@ -110,6 +110,26 @@
   tmx_w_u64(b, 0);
 }
 
+size_t tmx_job_types_within(const char *id, const struct tmx_spec *s, double submitted,
+                            const struct tmx_awaits *a, size_t room) {
+  struct tmx_spec part = *s;
+  struct tmx_buf bare = {0};
+  for (; part.n_types > 1; part.n_types--) {
+    bare.n = 0;
+    if (a->n)
+      encode_awaiting(&bare, id, &part, submitted, a->n, "");
+    else
+      tmx_job_encode(&bare, id, &part, submitted, TMX_OPEN);
+    if (tmx_json_len(&bare) <= room) break;
+  }
+  tmx_buf_free(&bare);
+  return part.n_types;
+}
+
+void tmx_type_print(char *out, size_t cap, const char *id, const char *type) {
+  snprintf(out, cap, "%c %s %s", TMX_LINE_TYPE, id, type);
+}
+
 uint32_t tmx_job_encode_open(struct tmx_buf *b, const char *id, const struct tmx_spec *s,
                              double submitted, const struct tmx_awaits *a, size_t room) {
   if (!a->n) {
--- a/src/state/replica.c
+++ b/src/state/replica.c
@@ -1,4 +1,4 @@
-#include "state/replica.h"
+#include "state/internal.h"
 
 #include <math.h>
 #include <stdio.h>
@@ -6,10 +6,11 @@
 #include <string.h>
 #include <utlist.h>
 
+#include "core/plan.h"
 #include "net/log.h"
 #include "tmx/wire.h"
 
-static void *xalloc(size_t n) {
+void *tmx_replica_alloc(size_t n) {
   void *p = calloc(1, n);
   if (!p) abort();
   return p;
@@ -93,64 +94,6 @@
   return k != NULL;
 }
 
-const struct tmx_member *tmx_member_find(const struct tmx_replica *r, const char *name) {
-  for (size_t i = 0; i < r->view.n_members; i++)
-    if (!strcmp(r->view.members[i].name, name)) return &r->view.members[i];
-  return NULL;
-}
-
-/* Rendezvous hashing: when a member goes, only its own machines and jobs move. */
-static uint64_t mix(const char *a, const char *b) {
-  uint64_t h = 1469598103934665603ull;
-  for (; *a; a++) h = (h ^ (uint8_t)*a) * 1099511628211ull;
-  h = (h ^ 0xff) * 1099511628211ull;
-  for (; *b; b++) h = (h ^ (uint8_t)*b) * 1099511628211ull;
-  h ^= h >> 33;
-  h *= 0xff51afd7ed558ccdull;
-  h ^= h >> 33;
-  return h;
-}
-static int pick(const struct tmx_replica *r, const char *what, int zone) {
-  int best = -1;
-  uint64_t top = 0;
-  for (size_t i = 0; i < r->view.n_members; i++) {
-    if (zone >= 0 && r->view.members[i].zone != zone) continue;
-    uint64_t h = mix(r->view.members[i].name, what);
-    if (best < 0 || h > top) {
-      top = h;
-      best = (int)i;
-    }
-  }
-  return best;
-}
-int tmx_member_index(const struct tmx_replica *r, const char *name) {
-  for (size_t i = 0; name && i < r->view.n_members; i++)
-    if (!strcmp(r->view.members[i].name, name)) return (int)i;
-  return -1;
-}
-static int owner_index(const struct tmx_replica *r, const char *machine, int zone) {
-  struct tmx_exception *e;
-  HASH_FIND_STR(r->view.taken, machine, e);
-  int i = e ? tmx_member_index(r, e->node) : -1;
-  if (i < 0 && r->view.local && zone >= 0) i = pick(r, machine, zone);
-  return i >= 0 ? i : pick(r, machine, -1);
-}
-const char *tmx_owner_of(const struct tmx_replica *r, const char *machine) {
-  const struct tmx_machine *m = tmx_machine_find(r, machine);
-  int i = m && m->known ? m->owner : owner_index(r, machine, -1);
-  return i >= 0 ? r->view.members[i].name : NULL;
-}
-int tmx_planner_index(const struct tmx_replica *r, const char *job) { return pick(r, job, -1); }
-const char *tmx_planner_of(const struct tmx_replica *r, const char *job) {
-  int i = pick(r, job, -1);
-  return i >= 0 ? r->view.members[i].name : NULL;
-}
-double tmx_replica_wrote(const struct tmx_replica *r, const char *node) {
-  for (size_t i = 0; i < r->n_wrote; i++)
-    if (!strcmp(r->wrote[i].node, node)) return r->wrote[i].at;
-  return 0;
-}
-
 /* Places in the planner's tables, used again once free. */
 static int slot_take(int **v, size_t *n, int *top) { return *n ? (*v)[--*n] : (*top)++; }
 static void slot_give(int **v, size_t *n, size_t *cap, int slot) {
@@ -164,7 +107,7 @@
 
 /* ------------------------------------------------------------ applying */
 
-static void touched(struct tmx_replica *r, struct tmx_machine *m) {
+void tmx_replica_touched(struct tmx_replica *r, struct tmx_machine *m) {
   m->changes++;
   if (r->on_machine) r->on_machine(r->arg, m);
 }
@@ -184,7 +127,7 @@
     j->stuck_since = r->now;
   if (r->on_job) r->on_job(r->arg, j);
 }
-static void changed(struct tmx_replica *r) {
+void tmx_replica_changed(struct tmx_replica *r) {
   if (r->on_change) r->on_change(r->arg);
 }
 
@@ -222,46 +165,18 @@
   t->stop = 0;
   uint32_t i = tmx_task_index(t);
   if (i < t->job->first_wait) t->job->first_wait = i;
-  touched(r, m);
+  tmx_replica_touched(r, m);
   job_touched(r, t->job);
 }
 
-static const struct tmx_class *class_of(const struct tmx_replica *r, const char *name) {
-  for (size_t i = 0; i < r->n_classes; i++)
-    if (!strcmp(r->classes[i].name, name)) return &r->classes[i];
-  return NULL;
-}
-
-double tmx_expected_run(const struct tmx_replica *r, const struct tmx_spec *s) {
-  const struct tmx_class *c = class_of(r, s->class);
-  if (!c || c->n < TMX_LEARN_LEAST) return s->estimate_s;
-  return s->estimate_s * exp(c->log_ratio);
-}
-
-void tmx_learn_run(struct tmx_replica *r, const struct tmx_spec *s, double ran) {
-  if (s->estimate_s <= 0 || ran <= 0) return;
-  struct tmx_class *c = (struct tmx_class *)class_of(r, s->class);
-  if (!c) {
-    if (r->n_classes == TMX_CLASSES_MAX) return;
-    c = &r->classes[r->n_classes++];
-    memset(c, 0, sizeof *c);
-    snprintf(c->name, sizeof c->name, "%s", s->class);
-  }
-  double x = log(ran / s->estimate_s);
-  x = fmax(-TMX_LEARN_BOUND,
-           fmin(TMX_LEARN_BOUND, x)); /* a hung machine tells nothing of the class */
-  if (c->n < TMX_LEARN_LAST) c->n++;
-  c->log_ratio += (x - c->log_ratio) / c->n;
-}
-
 static struct tmx_machine *machine_make(struct tmx_replica *r, const char *id) {
   struct tmx_machine *m = tmx_machine_find(r, id);
   if (m) return m;
-  m = xalloc(sizeof *m);
+  m = tmx_replica_alloc(sizeof *m);
   snprintf(m->id, sizeof m->id, "%s", id);
   m->zone = -1;
   m->slot = slot_take(&r->slots_m, &r->n_slots_m, &r->top_m);
-  m->owner = owner_index(r, id, -1);
+  m->owner = tmx_replica_owner_index(r, id, -1);
   HASH_ADD_STR(r->machines, id, m);
   return m;
 }
@@ -287,7 +202,7 @@
   struct tmx_image_name *n;
   HASH_FIND_STR(r->images, name, n);
   if (n) return n->id;
-  n = xalloc(sizeof *n);
+  n = tmx_replica_alloc(sizeof *n);
   snprintf(n->name, sizeof n->name, "%s", name);
   n->id = (int)HASH_COUNT(r->images) + 1;
   HASH_ADD_STR(r->images, name, n);
@@ -333,7 +248,7 @@
     j->n_placed++;
     book(r, t, 1);
     remember_image(t->machine, &j->spec, r->loaded ? r->now : -1e9);
-    touched(r, t->machine);
+    tmx_replica_touched(r, t->machine);
     j->stuck_since = r->now;
     job_touched(r, j);
     note_start(r, j);
@@ -343,7 +258,7 @@
   if (t->attempt != o->attempt || t->state != TMX_PLACED) return;
   if (o->op == TMX_OP_STOP) {
     t->stop = o->how == '2' ? 2 : 1;
-    touched(r, t->machine);
+    tmx_replica_touched(r, t->machine);
     return;
   }
   struct tmx_machine *m = t->machine;
@@ -369,11 +284,11 @@
   }
   job_touched(r, j);
   release(r, j);
-  changed(r);
+  tmx_replica_changed(r);
 }
 
 static struct tmx_job *job_make(struct tmx_replica *r, const struct tmx_job_record *record) {
-  struct tmx_job *j = xalloc(sizeof *j);
+  struct tmx_job *j = tmx_replica_alloc(sizeof *j);
   memcpy(j->id, record->id, sizeof j->id);
   j->spec = record->spec;
   j->submitted = j->released = record->submitted;
@@ -382,7 +297,7 @@
   j->loaded_at = r->now;
   j->team = tmx_team_index(r->set, j->spec.team);
   j->spec.image_id = image_id(r, j->spec.image);
-  j->tasks = xalloc(sizeof(struct tmx_task) * j->spec.tasks);
+  j->tasks = tmx_replica_alloc(sizeof(struct tmx_task) * j->spec.tasks);
   for (uint32_t i = 0; i < j->spec.tasks; i++) j->tasks[i].job = j;
   j->slot = slot_take(&r->slots_j, &r->n_slots_j, &r->top_j);
   HASH_ADD_STR(r->jobs, id, j);
@@ -393,16 +308,16 @@
   j->fin = fin;
   j->fin_after = r->loaded ? r->sure_at : 0;
   for (uint32_t i = 0; j->n_placed && i < j->spec.tasks; i++)
-    if (j->tasks[i].machine) touched(r, j->tasks[i].machine);
+    if (j->tasks[i].machine) tmx_replica_touched(r, j->tasks[i].machine);
   if (fin == TMX_FIN_DONE) j->n_done = j->spec.tasks;
   release(r, j);
   job_touched(r, j);
-  changed(r);
+  tmx_replica_changed(r);
 }
 
 void tmx_replica_job_changed(struct tmx_replica *r, struct tmx_job *j) {
   job_touched(r, j);
-  changed(r);
+  tmx_replica_changed(r);
 }
 
 void tmx_replica_tidy_unstored(struct tmx_replica *r) {
@@ -420,7 +335,7 @@
   r->pipelines = true;
   tmx_depend_declare(j, (uint32_t)record->n_awaits);
   size_t len = cbor_string_length(record->awaits);
-  char *text = xalloc(len + 1);
+  char *text = tmx_replica_alloc(len + 1);
   tmx_r_str(record->awaits, text, len + 1);
   tmx_awaits_read(j, 0, text);
   free(text);
@@ -451,7 +366,7 @@
   }
   read_dependencies(r, j, &record);
   job_touched(r, j);
-  changed(r);
+  tmx_replica_changed(r);
 }
 
 static void apply_awaits(struct tmx_replica *r, char *line) {
@@ -473,6 +388,18 @@
   job_touched(r, j);
 }
 
+/* The type is the rest of the line: its name may hold spaces. */
+static void apply_type(struct tmx_replica *r, const char *line) {
+  char id[TMX_ID_MAX];
+  int at = 0;
+  if (sscanf(line, "%*c %31s %n", id, &at) != 1 || !at) return;
+  struct tmx_job *j = tmx_job_find(r, id);
+  const char *type = line + at;
+  if (!j || !j->spec.n_types || j->spec.n_types == TMX_TYPES_MAX) return;
+  if (strlen(type) >= TMX_ID_MAX || tmx_type_allowed(&j->spec, type)) return;
+  snprintf(j->spec.types[j->spec.n_types++], TMX_ID_MAX, "%s", type);
+}
+
 /* Keeps count of the keys of one kind that stand. */
 static void keep_key(struct tmx_log_key **h, const char *key, uint64_t stamp, bool stands) {
   struct tmx_log_key *k;
@@ -485,7 +412,7 @@
     return;
   }
   if (!k) {
-    k = xalloc(sizeof *k);
+    k = tmx_replica_alloc(sizeof *k);
     k->key = strdup(key);
     HASH_ADD_KEYPTR(hh, *h, k->key, strlen(k->key), k);
   }
@@ -530,17 +457,17 @@
     snprintf(m->addr, sizeof m->addr, "%s", f[2]);
     snprintf(m->type, sizeof m->type, "%s", f[3]);
     set_zone(m, tmx_zone_index(r->set, f[4]));
-    m->owner = owner_index(r, id, m->zone);
+    m->owner = tmx_replica_owner_index(r, id, m->zone);
     m->spot = f[5][0] != '0';
     m->drain = f[6][0] != '0';
     m->known = true;
     count_type(r, m, 1);
-    touched(r, m);
+    tmx_replica_touched(r, m);
   } else if (kind == TMX_LINE_DRAIN) {
     struct tmx_machine *m = tmx_machine_find(r, id);
     if (n != 3 || !m) return;
     m->drain = f[2][0] != '0';
-    touched(r, m);
+    tmx_replica_touched(r, m);
   } else {
     if (HASH_COUNT(r->gone) >= gone_kept(r)) keep_key(&r->gone, r->gone->key, 0, false);
     keep_key(&r->gone, id, 1, true);
@@ -552,7 +479,7 @@
     machine_lost(r, m);
     machine_forget(r, m);
   }
-  changed(r);
+  tmx_replica_changed(r);
 }
 
 /* A page holds the state of runs of tasks as of its own version. */
@@ -602,6 +529,8 @@
       apply_run(r, s);
     else if (s[0] == TMX_LINE_AWAITS)
       apply_awaits(r, s);
+    else if (s[0] == TMX_LINE_TYPE)
+      apply_type(r, s);
     else
       tmx_ops_each(s, apply_each, r);
   }
@@ -627,67 +556,6 @@
   apply_lines(r, v);
 }
 
-static void apply_node(struct tmx_replica *r, const char *name, uint64_t stamp,
-                       const cbor_item_t *v) {
-  size_t i;
-  for (i = 0; i < r->n_nodes; i++)
-    if (!strcmp(r->nodes[i].name, name)) break;
-  if (!v) {
-    if (i < r->n_nodes) r->nodes[i] = r->nodes[--r->n_nodes];
-  } else {
-    if (i == r->n_nodes) {
-      if (r->n_nodes == TMX_MEMBERS_MAX) return;
-      r->n_nodes++;
-      snprintf(r->nodes[i].name, sizeof r->nodes[i].name, "%s", name);
-    }
-    r->nodes[i].inc = stamp;
-  }
-  changed(r);
-}
-
-static void apply_view(struct tmx_replica *r, uint64_t stamp, const cbor_item_t *v) {
-  struct tmx_view *w = &r->view;
-  if (!v) return;
-  HASH_CLEAR(hh, w->taken);
-  free(w->exceptions);
-  memset(w, 0, sizeof *w);
-  w->stamp = stamp;
-  tmx_r_ku64(v, "term", &w->term);
-  tmx_r_kbool(v, "local", &w->local);
-  const cbor_item_t *ms = tmx_r_get(v, "members"), *ex = tmx_r_get(v, "exceptions");
-  for (size_t i = 0; i < tmx_r_len(ms) && w->n_members < TMX_MEMBERS_MAX; i++) {
-    struct tmx_member *m = &w->members[w->n_members];
-    if (!tmx_r_kstr(tmx_r_at(ms, i), "name", m->name, sizeof m->name) ||
-        !tmx_r_ku64(tmx_r_at(ms, i), "inc", &m->inc))
-      continue;
-    m->zone = tmx_node_zone(r->set, m->name);
-    w->n_members++;
-  }
-  size_t n = 0;
-  for (size_t i = 1; i < tmx_r_len(ex); i += 2) n += tmx_r_len(tmx_r_at(ex, i));
-  w->exceptions = xalloc(sizeof *w->exceptions * (n + 1));
-  for (size_t i = 0; i + 1 < tmx_r_len(ex); i += 2) {
-    const cbor_item_t *ids = tmx_r_at(ex, i + 1);
-    for (size_t k = 0; k < tmx_r_len(ids); k++) {
-      struct tmx_exception *e = &w->exceptions[w->n_exceptions], *old;
-      if (!tmx_r_str(tmx_r_at(ex, i), e->node, TMX_NAME_MAX) ||
-          !tmx_r_str(tmx_r_at(ids, k), e->machine, TMX_ID_MAX))
-        continue;
-      HASH_FIND_STR(w->taken, e->machine, old);
-      if (old) continue;
-      HASH_ADD_STR(w->taken, machine, e);
-      w->n_exceptions++;
-    }
-  }
-  struct tmx_machine *m, *t;
-  HASH_ITER(hh, r->machines, m, t) {
-    m->owner = owner_index(r, m->id, m->zone);
-    touched(r, m);
-  }
-  if (r->on_view) r->on_view(r->arg);
-  changed(r);
-}
-
 static bool after(const char *key, const char *prefix, const char **rest) {
   size_t n = strlen(prefix);
   if (strncmp(key, prefix, n)) return false;
@@ -713,11 +581,11 @@
     tmx_r_ku64(v, "mark", &r->fold_mark);
     tmx_r_ku64(v, "gen", &r->fold_gen);
   } else if (after(key, TMX_K_NODE, &rest)) {
-    apply_node(r, rest, stamp, v);
+    tmx_replica_apply_node(r, rest, stamp, v);
   } else if (!strcmp(key, TMX_K_HEAD)) {
     r->head = stamp;
   } else if (!strcmp(key, TMX_K_VIEW)) {
-    apply_view(r, stamp, v);
+    tmx_replica_apply_view(r, stamp, v);
   } else if (!strcmp(key, TMX_K_LEADER)) {
     r->leader[0] = 0;
     r->leader_stamp = v ? stamp : 0;
@@ -726,7 +594,7 @@
       tmx_r_kstr(v, "name", r->leader, sizeof r->leader);
       tmx_r_ku64(v, "inc", &r->leader_inc);
     }
-    changed(r);
+    tmx_replica_changed(r);
   }
 }
 
@@ -767,5 +635,5 @@
     release(r, j);
   }
   tmx_depend_loaded(r);
-  changed(r);
+  tmx_replica_changed(r);
 }
--- a/src/state/replica.h
+++ b/src/state/replica.h
@@ -248,6 +248,11 @@
  * returns how many. The rest follows in lines. */
 uint32_t tmx_job_encode_open(struct tmx_buf *b, const char *id, const struct tmx_spec *s,
                              double submitted, const struct tmx_awaits *a, size_t room);
+/* How many of its machine types a record in `room` bytes can name, at least one: the others follow
+ * in lines. An older version, which passes over these, takes the job for one that allows fewer. */
+size_t tmx_job_types_within(const char *id, const struct tmx_spec *s, double submitted,
+                            const struct tmx_awaits *a, size_t room);
+void tmx_type_print(char *out, size_t cap, const char *id, const char *type);
 /* ... of one that is over, cut down to what still counts where `room` asks for it. ended: time of
  * day, s; 0 leaves it out. */
 void tmx_job_encode_final(struct tmx_buf *b, const struct tmx_job *j, int fin, double ended,
@@ -292,6 +297,7 @@
 #define TMX_LINE_DRAIN 'd'
 #define TMX_LINE_GONE 'x'
 #define TMX_LINE_RUN 't'    /* of a page: a run of tasks */
+#define TMX_LINE_TYPE 'y'   /* of a page: one more machine type that a job allows */
 #define TMX_LINE_AWAITS 'w' /* ids that a job names, from a position on */
 /* how an attempt ended */
 #define TMX_END_DONE 'd'
--- a/tests/fake.h
+++ b/tests/fake.h
@@ -152,7 +152,7 @@
   const char *id, *kind, *class, *team, *priority;
   uint32_t tasks;
   double cpus, estimate_s;
-  const struct tmx_buf *awaits; /* the encoded list; NULL: none */
+  const struct tmx_buf *awaits, *types; /* the encoded lists; NULL: none */
 };
 void submission_of(struct tmx_buf *b, const struct fake_job *job);
 int submit_job(struct tmx_ctl *c, const struct fake_job *job); /* the answer's status */
--- /dev/null
+++ b/tests/fake_worker.c
@@ -0,0 +1,163 @@
+/* Scripted workers. */
+#include "fake_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "net/log.h"
+#include "tmx/wire.h"
+
+void worker_encode(const struct fake_worker *w, struct tmx_buf *b) {
+  tmx_w_map(b, 9);
+  tmx_w_kstr(b, W_MACHINE, w->id);
+  tmx_w_kstr(b, W_ADDR, w->addr);
+  tmx_w_kstr(b, W_TYPE, "big");
+  tmx_w_kstr(b, W_ZONE, "a");
+  tmx_w_kbool(b, W_SPOT, false);
+  tmx_w_ku64(b, W_SESSION, w->session);
+  tmx_w_ku64(b, W_SEQ, w->seq);
+  tmx_w_ku64(b, W_TOKEN, w->token);
+  tmx_w_str(b, W_TASKS);
+  tmx_w_list(b, w->n_loads);
+  for (size_t i = 0; i < w->n_loads; i++) {
+    bool over = !strcmp(w->loads[i].state, WV_EXITED);
+    tmx_w_map(b, over ? 4 : 3);
+    tmx_w_kstr(b, W_TASK, w->loads[i].task);
+    tmx_w_ku64(b, W_ATTEMPT, w->loads[i].attempt);
+    tmx_w_kstr(b, W_STATE, w->loads[i].state);
+    if (over) tmx_w_kstr(b, W_WHY, w->loads[i].why);
+  }
+}
+
+void worker_set(struct fake_worker *w, const char *task, uint32_t attempt, const char *st,
+                const char *why) {
+  size_t i;
+  for (i = 0; i < w->n_loads; i++)
+    if (!strcmp(w->loads[i].task, task) && w->loads[i].attempt == attempt) break;
+  if (!st) {
+    if (i < w->n_loads) w->loads[i] = w->loads[--w->n_loads];
+    return;
+  }
+  assert_in_range(i, 0, FAKE_LOADS - 1);
+  if (i == w->n_loads) w->n_loads++;
+  snprintf(w->loads[i].task, sizeof w->loads[i].task, "%s", task);
+  snprintf(w->loads[i].state, sizeof w->loads[i].state, "%s", st);
+  snprintf(w->loads[i].why, sizeof w->loads[i].why, "%s", why ? why : "");
+  w->loads[i].attempt = attempt;
+}
+
+static void take_orders(struct fake_worker *w, const cbor_item_t *m) {
+  const cbor_item_t *l = tmx_r_get(m, W_COMMANDS);
+  w->n_orders = 0;
+  for (size_t i = 0; i < tmx_r_len(l) && w->n_orders < 64; i++) {
+    struct fake_order *o = &w->orders[w->n_orders++];
+    uint64_t a = 0;
+    tmx_r_kstr(tmx_r_at(l, i), W_OP, o->op, sizeof o->op);
+    tmx_r_kstr(tmx_r_at(l, i), W_TASK, o->task, sizeof o->task);
+    tmx_r_ku64(tmx_r_at(l, i), W_ATTEMPT, &a);
+    o->attempt = (uint32_t)a;
+  }
+}
+
+void worker_do(struct fake_worker *w) {
+  for (size_t i = 0; i < w->n_orders; i++) {
+    const struct fake_order *o = &w->orders[i];
+    bool held = false;
+    for (size_t k = 0; k < w->n_loads; k++)
+      held |= !strcmp(w->loads[k].task, o->task) && w->loads[k].attempt == o->attempt;
+    if (!strcmp(o->op, WV_START) && !held) {
+      worker_set(w, o->task, o->attempt, WV_RUNNING, NULL);
+      w->executed_starts++;
+    } else if (!strcmp(o->op, WV_STOP) && held) {
+      worker_set(w, o->task, o->attempt, WV_EXITED, WV_STOPPED);
+    } else if (!strcmp(o->op, WV_FORGET)) {
+      worker_set(w, o->task, o->attempt, NULL, NULL);
+    }
+  }
+  w->n_orders = 0;
+}
+
+static void on_worker(void *arg, struct tmx_req *q) {
+  struct fake_worker *w = arg;
+  struct tmx_buf b = {0};
+  if (w->silent || (w->mute && !strcmp(q->path, WP_COMMANDS))) {
+    if (!strcmp(q->path, WP_COMMANDS)) w->commands++;
+    tmx_req_reply(q, 500, NULL, 0);
+    return;
+  }
+  int status = 200;
+  if (!strcmp(q->path, WP_COMMANDS)) {
+    cbor_item_t *m = tmx_cbor_parse(q->body, q->body_len);
+    uint64_t token = 0, session = 0;
+    tmx_r_ku64(m, W_TOKEN, &token);
+    tmx_r_ku64(m, W_SESSION, &session);
+    w->commands++;
+    if (token < w->token || session != w->session) {
+      status = 409;
+    } else {
+      w->token = token;
+      take_orders(w, m);
+      worker_do(w);
+      if (w->on_command) w->on_command(w, token);
+    }
+    tmx_cbor_free(m);
+  }
+  w->seq++;
+  worker_encode(w, &b);
+  tmx_req_reply(q, status, &b, 0);
+  tmx_buf_free(&b);
+}
+
+void worker_open(struct fake_worker *w, const char *id) {
+  memset(w, 0, sizeof *w);
+  snprintf(w->id, sizeof w->id, "%s", id);
+  w->session = 1;
+  w->srv = tmx_server_new(loop, "127.0.0.1:0", 16, 60, on_worker, w);
+  assert_non_null(w->srv);
+  snprintf(w->addr, sizeof w->addr, "127.0.0.1:%d", tmx_server_port(w->srv));
+}
+
+void worker_answered(struct fake_worker *w, int status, const uint8_t *body, size_t len) {
+  cbor_item_t *m = tmx_cbor_parse(body, len);
+  w->status = status;
+  w->move_to[0] = 0;
+  w->answer_token = 0;
+  w->n_orders = 0;
+  if (status == 200) {
+    tmx_r_ku64(m, W_TOKEN, &w->answer_token);
+    if (w->answer_token >= w->token) {
+      w->token = w->answer_token;
+      take_orders(w, m);
+    }
+  } else if (m) {
+    tmx_r_kstr(m, W_REPORT_TO, w->move_to, sizeof w->move_to);
+  }
+  tmx_cbor_free(m);
+}
+
+static void on_reported(void *arg, int status, const uint8_t *body, size_t len) {
+  struct fake_waiting *x = arg;
+  x->done = true;
+  worker_answered(x->w, status, body, len);
+}
+
+void worker_report(struct fake_worker *w, struct tmx_ctl *c) {
+  struct fake_waiting x = {.w = w};
+  struct tmx_buf b = {0};
+  struct tmx_client *k = to(c);
+  w->seq++;
+  worker_encode(w, &b);
+  assert_true(tmx_client_call(k, "POST", WP_REPORT, &b, 5, on_reported, &x));
+  tmx_buf_free(&b);
+  assert_true(pump(fake_is_done, &x));
+  tmx_client_free(k);
+}
+
+bool worker_has(const struct fake_worker *w, const char *op, const char *task, uint32_t attempt) {
+  for (size_t i = 0; i < w->n_orders; i++)
+    if (!strcmp(w->orders[i].op, op) && !strcmp(w->orders[i].task, task) &&
+        w->orders[i].attempt == attempt)
+      return true;
+  return false;
+}
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -455,47 +455,73 @@
   for (uint32_t i = 0; i < j->n_waits; i++) j->waits[i] = (struct tmx_plan_wait){i, 1};
 }
 
-/* One machine with room for one task; a flood of small jobs that stand before a larger one. */
-static bool larger_job_gets_the_room(double start_s, double since_start) {
+struct turn_case {
+  double start_s, since_start; /* of the larger job's class */
+  double free_cpus, cpus;      /* of the one machine of 4; what a task of the larger job takes */
+  bool leading;
+};
+
+/* What is placed beside a flood of small jobs, which stand before the larger one in the order.
+ * Returns how many tasks; *larger: the first of them is the larger job's. */
+static size_t placed_beside_a_flood(struct turn_case x, bool *larger) {
   struct tmx_model *model = tmx_model_new();
   struct tmx_feed feed = {0};
   struct tmx_plan_output out;
   struct tmx_round *in = calloc(1, sizeof *in);
-  *in = (struct tmx_round){.n_zones = 1,
-                           .leading = true,
-                           .max_ops = 400,
-                           .max_visits = 400000,
-                           .n_teams = 1,
-                           .now = 1000,
-                           .wall = 1000};
-  in->turns.start_s = start_s;
-  in->turns.since_start[0][0] = 0;
-  in->turns.since_start[0][1] = since_start;
+  *in =
+      (struct tmx_round){.n_zones = 1, .leading = x.leading, .max_ops = 400, .max_visits = 400000};
+  in->n_teams = 1;
+  in->now = in->wall = 1000;
+  in->turns.start_s = x.start_s;
+  in->turns.since_start[0][1] = x.since_start;
   struct tmx_plan_machine *m = tmx_feed_machine(&feed);
   strcpy(m->id, "n-000001");
   strcpy(m->type, "big");
   m->usable = true;
-  m->cpus = 1;
+  m->cpus = 4;
+  m->ucpus = 4 - x.free_cpus;
   m->mem = 64;
   for (int i = 0; i < FLOOD; i++) fill_paper(&feed, 900, true, i);
   fill_paper(&feed, 940, false, FLOOD);
+  feed.jobs[FLOOD].spec->cpus = x.cpus;
   tmx_model_feed(model, &feed);
   tmx_plan(model, in, &out);
-  bool larger = out.n_ops == 1 && !strcmp(out.ops[0].job, "wk-000040");
-  assert_int_equal(out.n_ops, 1);
+  size_t n = out.n_ops;
+  *larger = n && !strcmp(out.ops[0].job, "wk-000040");
   free(out.ops);
   tmx_feed_clear(&feed);
   tmx_model_free(model);
   free(in);
-  return larger;
+  return n;
 }
 
 static void a_class_gets_its_turn_behind_a_flood(void **st) {
   (void)st;
-  assert_false(larger_job_gets_the_room(0, TMX_NEVER_S));   /* no turns: least work goes first */
-  assert_true(larger_job_gets_the_room(45, TMX_NEVER_S));   /* it has waited 60 s */
-  assert_false(larger_job_gets_the_room(45, 20));           /* its class had a start 20 s ago */
-  assert_false(larger_job_gets_the_room(100, TMX_NEVER_S)); /* it has not waited that long */
+  static const struct {
+    struct turn_case given;
+    bool larger;
+  } cases[] = {{{0, TMX_NEVER_S, 1, 1, true}, false},    /* no turns: least work goes first */
+               {{45, TMX_NEVER_S, 1, 1, true}, true},    /* it has waited 60 s */
+               {{45, 20, 1, 1, true}, false},            /* its class had a start 20 s ago */
+               {{100, TMX_NEVER_S, 1, 1, true}, false}}; /* it has not waited that long */
+  bool larger;
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++) {
+    assert_int_equal(placed_beside_a_flood(cases[i].given, &larger), 1);
+    assert_int_equal(larger, cases[i].larger);
+  }
+}
+
+static void a_machine_is_kept_free_for_a_large_task(void **st) {
+  (void)st;
+  bool larger;
+  struct turn_case wide = {45, TMX_NEVER_S, 2, 4, true};
+  assert_int_equal(placed_beside_a_flood(wide, &larger), 0); /* the flood gets none of the 2 free */
+  wide.free_cpus = 4;
+  assert_int_equal(placed_beside_a_flood(wide, &larger), 1);
+  assert_true(larger);
+  struct turn_case not_due = {45, 20, 2, 4, true}, follower = {45, TMX_NEVER_S, 2, 4, false};
+  assert_int_equal(placed_beside_a_flood(not_due, &larger), 2);
+  assert_int_equal(placed_beside_a_flood(follower, &larger), 2);
 }
 
 int main(void) {
@@ -509,6 +535,7 @@
       cmocka_unit_test(a_retry_is_expected_when_there_is_room),
       cmocka_unit_test(bad_operator_settings_name_the_key),
       cmocka_unit_test(a_class_gets_its_turn_behind_a_flood),
+      cmocka_unit_test(a_machine_is_kept_free_for_a_large_task),
       cmocka_unit_test_setup_teardown(a_surge_at_one_controller_is_known_at_the_other, setup,
                                       teardown),
       cmocka_unit_test_setup_teardown(a_late_copy_does_not_admit_by_old_shares, setup, teardown),
--- a/tests/test_history.c
+++ b/tests/test_history.c
@@ -14,9 +14,10 @@
 #define POLLED(status, state, final)                                                      \
   "{\"what\":\"answer\",\"ask\":\"poll\",\"job\":\"wk-1\",\"tasks\":1,\"status\":" status \
   ",\"state\":\"" state "\",\"final\":" final "}\n"
-#define PLACED(machine, attempt)                                                                  \
-  "{\"what\":\"placed\",\"task\":\"wk-1/0\",\"attempt\":" attempt ",\"machine\":\"" machine "\"}" \
-                                                                                            "\n"
+#define PLACED(machine, attempt)                                                            \
+  "{\"what\":\"placed\",\"task\":\"wk-1/0\",\"attempt\":" attempt ",\"machine\":\"" machine \
+  "\"}"                                                                                     \
+  "\n"
 #define ORDER(node, token)                                                     \
   "{\"what\":\"order\",\"machine\":\"n-1\",\"node\":" node ",\"token\":" token \
   ",\"verb\":\"start\",\"task\":\"wk-1/0\",\"attempt\":1}\n"
--- a/tests/test_pipelines.c
+++ b/tests/test_pipelines.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/plan.h"
 #include "net/log.h"
 #include "tmx/wire.h"
 
@@ -88,6 +89,20 @@
   report();
 }
 
+/* A submission that allows so many types, "big" among them. */
+static void submission_with_types(struct tmx_buf *b, const char *id, int n) {
+  struct tmx_buf types = {0};
+  char type[TMX_ID_MAX];
+  tmx_w_list(&types, (size_t)n);
+  for (int i = 0; i < n; i++) {
+    snprintf(type, sizeof type, i ? "a type with a rather long %02d" : "big", i);
+    tmx_w_str(&types, type);
+  }
+  struct fake_job job = {.id = id, .team = "t", .tasks = 1, .cpus = 2, .types = &types};
+  submission_of(b, &job);
+  tmx_buf_free(&types);
+}
+
 /* A list of ids, each a text, set apart by spaces in `names`. */
 static struct fake_answer submit_named(struct tmx_ctl *c, const char *id, const char *names) {
   struct tmx_buf list = {0}, body = {0};
@@ -473,6 +488,35 @@
   assert_int_equal(state.too_large, 0);
 }
 
+/* A job whose record names more types than the lowered limit leaves room for does not hold up a
+ * fold, and keeps all of its types. */
+static void record_above_a_lowered_limit_is_folded(void **st) {
+  (void)st;
+  struct tmx_buf body = {0};
+  char type[TMX_ID_MAX];
+  up();
+  submission_with_types(&body, "wk-000001", 30);
+  assert_int_equal(call(a, "POST", WP_JOBS, &body).status, 201);
+  tmx_buf_free(&body);
+  accepted("wk-000002", "");
+  a->set.value_kb = 1;
+  state.value_max = 1024;
+  uint64_t folded = a->rep.fold_mark;
+  tmx_fold_above(a->fold, 0);
+  for (int i = 0; i < 100 && a->rep.fold_mark == folded; i++) pump_for(0.2);
+  tmx_fold_above(a->fold, 1000);
+  assert_true(a->rep.fold_mark > folded);
+  restart();
+  const struct tmx_job *j = tmx_job_find(&a->rep, "wk-000001");
+  assert_int_equal(j->spec.n_types, 30);
+  assert_true(tmx_type_allowed(&j->spec, "big"));
+  for (int i = 1; i < 30; i++) {
+    snprintf(type, sizeof type, "a type with a rather long %02d", i);
+    assert_true(tmx_type_allowed(&j->spec, type));
+  }
+  assert_int_equal(state.too_large, 0);
+}
+
 int main(void) {
   const struct CMUnitTest t[] = {
       cmocka_unit_test_setup_teardown(one_after_the_other, setup, teardown),
@@ -490,6 +534,7 @@
       cmocka_unit_test_setup_teardown(malformed_lists, setup, teardown),
       cmocka_unit_test_setup_teardown(names_over_many_values, setup, teardown),
       cmocka_unit_test_setup_teardown(limits_lowered_under_way, setup, teardown),
+      cmocka_unit_test_setup_teardown(record_above_a_lowered_limit_is_folded, setup, teardown),
   };
   setenv("LOG_LEVEL", "error", 0);
   tmx_log_init("test");
