Admission: nothing is refused before machines are known; the capacity to expect is a setting

Ruled out: counting machines that are rented and not up (the leader alone knows them). Change: without a registered machine only the log and the memory bound; capacity_cpus in the operators' TOML tells what can be rented.

--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -15,17 +15,21 @@
   return sum;
 }
 
+/* Before the first machine is registered nothing tells how much there is: machines bound nothing
+ * then, and the log and the memory do. */
 struct tmx_rates tmx_admission_rates(const struct tmx_settings *settings,
                                      const struct tmx_machine_size *present,
                                      const struct tmx_machine_size *largest) {
   struct tmx_rates rates;
-  double cpus = fmax(fmax(present->cpus, largest->cpus), guaranteed(settings, false));
-  double gpus = fmax(fmax(present->gpus, largest->gpus), guaranteed(settings, true));
+  double expected = fmax(guaranteed(settings, false), settings->op.admission.capacity_cpus);
+  double cpus = fmax(present->cpus, expected);
+  double gpus = fmax(present->gpus, guaranteed(settings, true));
+  double gb_per_cpu = largest->cpus > 0 ? largest->mem_gb / largest->cpus : 0;
   double puts = settings->write_rps * TMX_WRITE_SHARE;
   double held_bytes = settings->ram_mb * TMX_BYTES_PER_MB * TMX_HELD_SHARE;
   rates.per_s[TMX_ADMISSION_CPU] = cpus * TMX_MILLI;
   rates.per_s[TMX_ADMISSION_GPU] = gpus * TMX_MILLI;
-  rates.per_s[TMX_ADMISSION_MEMORY] = fmax(present->mem_gb, largest->mem_gb) * TMX_MB_PER_GB;
+  rates.per_s[TMX_ADMISSION_MEMORY] = fmax(present->mem_gb, expected * gb_per_cpu) * TMX_MB_PER_GB;
   rates.per_s[TMX_ADMISSION_LOG] = puts * TMX_LINES_SHARE * (double)tmx_value_room(settings);
   rates.per_s[TMX_ADMISSION_PUTS] = puts * TMX_FINALS_SHARE;
   /* memory is not worked off: its share of the bound is that of what may be held */
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -30,8 +30,9 @@
   bool awaits_open; /* it awaits accepted jobs that are not over: part of a pipeline begun */
 };
 
-/* Rates of the machines that are `present`, at least what the teams are guaranteed and one machine
- * of each size in `largest`; the log's and the memory's from the settings. */
+/* Rates of the machines that are `present`, at least what the teams are guaranteed and what the
+ * operators expect, with memory in the proportion of the `largest` machine; the log's and the
+ * controllers' memory from the settings. */
 struct tmx_rates tmx_admission_rates(const struct tmx_settings *settings,
                                      const struct tmx_machine_size *present,
                                      const struct tmx_machine_size *largest);
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -51,6 +51,8 @@
       a->backlog_s = number(key, kv.second, 10, 86400);
     } else if (kv.first == "reserve") {
       a->reserve = number(key, kv.second, 0.05, 0.95);
+    } else if (kv.first == "capacity_cpus") {
+      a->capacity_cpus = number(key, kv.second, 0, 1e9);
     } else if (kv.first == "start_s") {
       a->start_s = number(key, kv.second, 1, 3600);
     } else if (kv.first == "team_shares") {
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -25,9 +25,10 @@
 };
 struct tmx_admission_settings {
   bool enabled;
-  double backlog_s; /* work admitted and not done, at most: s of the whole cluster */
-  double reserve;   /* share of it that is set aside for teams and classes, 0 to 1 */
-  double start_s;   /* a class whose work waits gets a start this often, s */
+  double backlog_s;     /* work admitted and not done, at most: s of the whole cluster */
+  double reserve;       /* share of it that is set aside for teams and classes, 0 to 1 */
+  double capacity_cpus; /* CPUs that can be had at least, rented ones included; 0: not told */
+  double start_s;       /* a class whose work waits gets a start this often, s */
   struct tmx_team_share named[TMX_TEAMS_MAX];
   size_t n_named;
   double share[TMX_TEAMS_MAX]; /* of each team, by index; see tmx_admission_resolve */
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -156,6 +156,28 @@
   assert_int_equal(tmx_admission_judge(&s, &b, NULL, &after, &newcomer).verdict, TMX_ADMITTED);
 }
 
+/* A bench day refused services in its first second: the log held no machine yet. */
+static void nothing_is_refused_before_machines_are_known(void **st) {
+  (void)st;
+  struct tmx_settings s = platform();
+  struct tmx_machine_size none = {0}, one = {.cpus = 64, .mem_gb = 256}, some = {.cpus = 6400};
+  struct tmx_rates unknown = tmx_admission_rates(&s, &none, &one);
+  struct tmx_backlog b;
+  tmx_backlog_init(&b, &s);
+  for (int i = 0; i < 200; i++) {
+    struct tmx_candidate x = candidate(&b, 0, "c", 500);
+    assert_int_equal(tmx_admission_judge(&s, &b, NULL, &unknown, &x).verdict, TMX_ADMITTED);
+    tmx_load_add(&b.accounts[0][x.account].load, &x.load, 1);
+    b.accounts[0][x.account].jobs++;
+  }
+  s.op.admission.capacity_cpus = 64; /* what operators expect counts from the start ... */
+  struct tmx_rates expected = tmx_admission_rates(&s, &none, &one);
+  struct tmx_candidate more = candidate(&b, 0, "c", 1);
+  assert_int_equal(tmx_admission_judge(&s, &b, NULL, &expected, &more).verdict, TMX_REFUSED_TEAM);
+  struct tmx_rates present = tmx_admission_rates(&s, &some, &one); /* ... and gives way to more */
+  assert_true(present.per_s[TMX_ADMISSION_CPU] > expected.per_s[TMX_ADMISSION_CPU]);
+}
+
 static void a_retry_is_expected_when_there_is_room(void **st) {
   (void)st;
   struct tmx_ruling little = {TMX_REFUSED_TEAM, 10.2, 10}, much = {TMX_REFUSED_TEAM, 1e9, 10};
@@ -229,6 +251,7 @@
   s->n_objectives = 2;
   s->op.admission.enabled = true;
   s->op.admission.backlog_s = 100;
+  s->op.admission.capacity_cpus = 16; /* no machine is registered */
   char err[128];
   assert_true(tmx_admission_resolve(s, err, sizeof err));
 }
@@ -532,6 +555,7 @@
       cmocka_unit_test(a_flood_leaves_room_for_others),
       cmocka_unit_test(invented_names_gain_nothing),
       cmocka_unit_test(less_capacity_refuses_sooner_but_keeps_reserves),
+      cmocka_unit_test(nothing_is_refused_before_machines_are_known),
       cmocka_unit_test(a_retry_is_expected_when_there_is_room),
       cmocka_unit_test(bad_operator_settings_name_the_key),
       cmocka_unit_test(a_class_gets_its_turn_behind_a_flood),
