Admission: single submissions up to half of the ceiling that decides, not a quarter of the bound

Ruled out: refusals (none after the first second), late loops (none). Change: a submission goes alone while its deciding account has at most half of its ceiling.

--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -244,9 +244,10 @@
 #define TMX_FINALS_SHARE 0.4
 /* of a controller's memory: for jobs that are not over */
 #define TMX_HELD_SHARE 0.25
-/* of the bound: above this backlog submissions go with batches only, which all rewrite head ... */
-#define TMX_DIRECT_ADMISSION 0.25
-/* ... and so does one that is larger than this */
+/* of the ceiling that decides: above it a submission goes with a batch only, as these all rewrite
+ * head ... */
+#define TMX_DIRECT_ADMISSION 0.5
+/* ... and so does one that is larger than this share of the bound */
 #define TMX_DIRECT_LOAD 0.01
 /* s; users follow Retry-After up to 30 s, with the random part */
 #define TMX_ADMISSION_RETRY_MAX_S 20.0
--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -105,13 +105,15 @@
                              candidate);
 }
 
-bool tmx_gate_may_go_alone(const struct tmx_gate *gate, const struct tmx_candidate *candidate) {
+bool tmx_gate_may_go_alone(const struct tmx_gate *gate, struct tmx_candidate *candidate,
+                           const struct tmx_awaits *awaits) {
   if (!gate || candidate->team < 0) return true;
-  double bound = gate->controller->set.op.admission.backlog_s;
+  struct tmx_ruling ruling = tmx_gate_judge(gate, candidate, awaits);
+  if (ruling.verdict != TMX_ADMITTED) return false;
+  if (ruling.backlog_s > TMX_DIRECT_ADMISSION * ruling.ceiling_s) return false;
   struct tmx_rates rates = rates_now(gate);
-  if (tmx_load_seconds(&candidate->load, &rates) > TMX_DIRECT_LOAD * bound) return false;
-  double all = tmx_total_seconds(&gate->backlog, &rates);
-  return all <= TMX_DIRECT_ADMISSION * bound;
+  double bound = gate->controller->set.op.admission.backlog_s;
+  return tmx_load_seconds(&candidate->load, &rates) <= TMX_DIRECT_LOAD * bound;
 }
 
 static void count_on_its_way(struct tmx_gate *gate, const struct tmx_candidate *candidate,
--- a/src/admission/gate.h
+++ b/src/admission/gate.h
@@ -17,9 +17,10 @@
 /* Judges on the replica as it stands, and on what this controller is committing. */
 struct tmx_ruling tmx_gate_judge(const struct tmx_gate *gate, struct tmx_candidate *candidate,
                                  const struct tmx_awaits *awaits);
-/* May it be committed by itself, without head being rewritten. Where admission is contested two
- * such commits could both take the last room. */
-bool tmx_gate_may_go_alone(const struct tmx_gate *gate, const struct tmx_candidate *candidate);
+/* Is it admitted even if it is committed by itself, without head being rewritten. Near a ceiling
+ * two such commits could both take the last room. */
+bool tmx_gate_may_go_alone(const struct tmx_gate *gate, struct tmx_candidate *candidate,
+                           const struct tmx_awaits *awaits);
 /* A commit of it is under way; it has been answered. */
 void tmx_gate_hold(struct tmx_gate *gate, const struct tmx_candidate *candidate);
 void tmx_gate_release(struct tmx_gate *gate, const struct tmx_candidate *candidate);
--- a/src/rounds/submissions.c
+++ b/src/rounds/submissions.c
@@ -207,7 +207,7 @@
 
 static bool may_go_alone(const struct tmx_rounds *p, struct tmx_arrival *a) {
   if (a->direct || a->sent || a->values > 1 || a->tries >= TMX_DIRECT_TRIES) return false;
-  if (!tmx_gate_may_go_alone(p->c->gate, &a->candidate) || !admitted(p, a)) return false;
+  if (!tmx_gate_may_go_alone(p->c->gate, &a->candidate, &a->awaits)) return false;
   return tmx_link_submit(p->c->link);
 }
 
