--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -139,6 +139,10 @@
   admit_until_refused(&s, &many, &rates, 0, "invented", 3000, 1);
   /* one listed class, or all invented ones together: the same ceiling, within one job */
   assert_true(tmx_team_seconds(&many, 0, &rates) <= tmx_team_seconds(&one, 0, &rates) + 0.2);
+  /* and what they have of the pool is not there for a listed one: 16.1 s rather than 36.8 s */
+  double job_s = 10.0 / 64;
+  unsigned beside = admit_until_refused(&s, &many, &rates, 0, "c", 1, 1);
+  assert_true(beside * job_s > 15.5 && beside * job_s < 16.5);
 }
 
 static void less_capacity_refuses_sooner_but_keeps_reserves(void **st) {
