--- a/tests/cluster/load.c
+++ b/tests/cluster/load.c
@@ -104,6 +104,7 @@
     char *rest;
     if (!troubles[i] || now - begun_at < strtod(troubles[i], &rest)) continue;
     if (!nodes_trouble(rest)) fprintf(stderr, "load: unknown trouble: %s\n", rest);
+    free(troubles[i]);
     troubles[i] = NULL;
   }
 }
