Workers: log lines for messages with commands, and for the number of messages

The log could not tell four explanations apart: a successor that derives the start again, an end that is recorded without proof, a placement before the end, and a late copy of an old command that the worker still accepts. No line showed which commands were sent, or with which token and session.

At level debug each message with commands now leaves a line with the numbers of starts, stops and attempts to forget, the token and the session. Every 10 s each controller writes the numbers of heartbeats received, command requests sent and tokens raised, so that a change of the protocol's traffic can be measured.

--- a/include/tmx/constants.h
+++ b/include/tmx/constants.h
@@ -310,6 +310,8 @@
 #define TMX_REMOVED_MACHINES_MEMORY_SHARE 0.05
 /** Bytes of the table entry for the name of a removed machine. */
 #define TMX_REMOVED_MACHINE_BYTES 160
+/** Seconds between log lines with the numbers of messages from and to the workers. */
+#define TMX_TRAFFIC_LOG_PERIOD_S 10.0
 /** Commands in one message to a worker. */
 #define TMX_MESSAGE_COMMANDS_MAX 400
 /**
--- a/src/worker/commands.c
+++ b/src/worker/commands.c
@@ -6,6 +6,7 @@
 #include "worker/fencing.h"
 #include "worker/reconciliation.h"
 #include "worker/report_intake.h"
+#include "worker/traffic.h"
 #include "worker/worker_connection.h"
 
 /* Value of tmx_task.stop_mode: stop after a checkpoint has been saved. */
@@ -65,10 +66,12 @@
   for (size_t i = 0; i < report->n_tasks && list->count < TMX_MESSAGE_COMMANDS_MAX; i++) {
     const struct tmx_reported_task *reported = &report->tasks[i];
     if (reported->in_log) continue;
-    if (reported->state != TMX_REPORTED_EXITED)
+    if (reported->state != TMX_REPORTED_EXITED) {
       append_command(list, WV_STOP, identify_reported_task(reported), 0.0);
-    else if (scope == TMX_COMMANDS_ALL)
+    } else if (scope == TMX_COMMANDS_ALL) {
       append_command(list, WV_FORGET, identify_reported_task(reported), NO_GRACE);
+      list->n_forgets++;
+    }
   }
 }
 
@@ -78,7 +81,7 @@
        task && list->count < TMX_MESSAGE_COMMANDS_MAX; task = task->next) {
     if (tmx_task_must_end(task) || tmx_worker_reports_task(worker, task)) continue;
     append_command(list, WV_START, identify_task(task), NO_GRACE);
-    list->has_starts = true;
+    list->n_starts++;
   }
 }
 
@@ -120,6 +123,9 @@
   worker->commands.in_flight = tmx_http_client_call(worker->connection.client, "POST", WP_COMMANDS,
                                                     &body, timeout_s, callback, worker);
   tmx_buffer_free(&body);
+  if (!worker->commands.in_flight) return;
+  worker->workers->traffic.direct_commands++;
+  tmx_worker_log_commands(worker, list, "direct");
 }
 
 static void on_command_response(void *arg, int status, const uint8_t *body, size_t length);
--- a/src/worker/commands.h
+++ b/src/worker/commands.h
@@ -15,7 +15,8 @@
 struct tmx_command_list {
   struct tmx_buffer encoded; /**< owned; the CBOR maps of the commands, concatenated */
   size_t count;              /**< number of commands, at most TMX_MESSAGE_COMMANDS_MAX */
-  bool has_starts;           /**< at least one command starts an attempt */
+  size_t n_starts;           /**< of `count`, those that start an attempt */
+  size_t n_forgets;          /**< of `count`, those that make the worker forget an attempt */
 };
 
 /** Which commands may be sent. */
--- a/src/worker/fencing.c
+++ b/src/worker/fencing.c
@@ -22,8 +22,10 @@
   return worker->ownership.highest_token > tmx_worker_token(worker);
 }
 
-static void raise_token(struct tmx_worker_ownership *ownership) {
-  if (ownership->token_sequence < TMX_TOKEN_SEQUENCE_MAX) ownership->token_sequence++;
+static void raise_token(struct tmx_worker *worker) {
+  if (worker->ownership.token_sequence == TMX_TOKEN_SEQUENCE_MAX) return;
+  worker->ownership.token_sequence++;
+  worker->workers->traffic.raised_tokens++;
 }
 
 /* Commands of the former owner may still be in flight. Until the worker has seen a token of the new
@@ -35,7 +37,7 @@
   /* The term is the same if the replica was cleared and read again. A heartbeat response with
    * starts may then be in flight with the same token that the worker has seen, so a higher token is
    * needed (test_leader_change: a_replica_reload_in_the_same_view_raises_the_token). */
-  if (term == ownership->as_of_term) raise_token(ownership);
+  if (term == ownership->as_of_term) raise_token(worker);
   ownership->required_token = tmx_worker_token(worker);
   ownership->report_may_predate_ownership = true;
   ownership->required_since = tmx_clock_steady();
@@ -68,7 +70,7 @@
   struct tmx_worker_ownership *ownership = &worker->ownership;
   if (tmx_worker_acknowledges_owner(worker)) ownership->required_since = tmx_clock_steady();
   worker->commands.is_unanswered = true;
-  raise_token(ownership);
+  raise_token(worker);
   ownership->required_token = tmx_worker_token(worker);
   if (!ownership->report_may_predate_ownership)
     ownership->required_session = worker->report.session;
@@ -85,7 +87,7 @@
       ownership->highest_token - first > TMX_TOKEN_SEQUENCE_MAX)
     return;
   ownership->token_sequence = (uint32_t)(ownership->highest_token - first);
-  raise_token(ownership);
+  raise_token(worker);
   ownership->required_token = tmx_worker_token(worker);
 }
 
--- a/src/worker/lease_renewal.c
+++ b/src/worker/lease_renewal.c
@@ -10,6 +10,7 @@
 #include "worker/fencing.h"
 #include "worker/reconciliation.h"
 #include "worker/report_intake.h"
+#include "worker/traffic.h"
 
 /* Redirects the worker to `owner`; NULL: the worker chooses another controller itself. */
 static void reply_redirect(struct tmx_http_request *request, const char *owner) {
@@ -53,8 +54,9 @@
   struct tmx_command_list list = {0};
   tmx_worker_derive_commands(worker, stops_only ? TMX_COMMANDS_STOPS_ONLY : TMX_COMMANDS_ALL,
                              &list);
-  if (list.has_starts) worker->commands.starts_unconfirmed = true;
+  if (list.n_starts) worker->commands.starts_unconfirmed = true;
   reply_with_commands(request, tmx_worker_token(worker), &list);
+  tmx_worker_log_commands(worker, &list, "response");
   tmx_command_list_free(&list);
 }
 
@@ -203,6 +205,7 @@
 }
 
 void tmx_workers_handle_heartbeat(struct tmx_workers *workers, struct tmx_http_request *request) {
+  workers->traffic.heartbeats++;
   struct tmx_report_ingest ingest = process_heartbeat(workers, request);
   struct tmx_worker *worker = ingest.worker;
   bool is_stale = ingest.status == TMX_INGEST_STALE;
--- a/src/worker/machine_health.c
+++ b/src/worker/machine_health.c
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "worker/fencing.h"
 #include "worker/probes.h"
+#include "worker/traffic.h"
 #include "worker/worker_connection.h"
 #include "worker/worker_table.h"
 
@@ -112,6 +113,7 @@
   double now = tmx_clock_steady(), elapsed = now - workers->health_checked_at;
   if (elapsed < TMX_RECLAIM_PERIOD_S) return;
   workers->health_checked_at = now;
+  tmx_workers_log_traffic(workers, now);
   struct health_check check = {
       .now = now,
       .probe_rate = tmx_workers_probe_rate(workers->settings),
--- a/src/worker/workers_internal.h
+++ b/src/worker/workers_internal.h
@@ -158,6 +158,15 @@
   struct tmx_worker *next_suspect; /**< the same for the pass over suspect machines */
 };
 
+/** Messages between this controller and the workers since the last line of traffic.c. Each field
+ * has its own writer. */
+struct tmx_worker_traffic {
+  uint64_t heartbeats;      /**< heartbeats received, by lease_renewal.c */
+  uint64_t direct_commands; /**< command requests sent, empty ones included, by commands.c */
+  uint64_t raised_tokens;   /**< raised sequence numbers of tokens, by fencing.c */
+  double logged_at;         /**< steady clock, s: when the last line was written; by traffic.c */
+};
+
 /** The module: its table of workers and its dependencies. */
 struct tmx_workers {
   struct ev_loop *loop;                  /**< not owned; runs the timers and connections */
@@ -179,6 +188,7 @@
   int n_connections;           /**< number of open connections to workers */
   uint32_t report_counter;     /**< `number` of the latest report of any worker */
   double health_checked_at;    /**< steady clock, s: latest health check of the machines */
+  struct tmx_worker_traffic traffic;    /**< counts of messages */
   struct tmx_probe_budget probe_budget; /**< rate limit of probes */
   struct tmx_reachability reachability; /**< as of health_checked_at */
   bool most_send_no_heartbeats; /**< most of this controller's machines send it no heartbeats, which
