Fencing: a message that forgets attempts voids all direct starts before it

An idle task was preempted, ran on another machine as attempt 2, and was started a second time as attempt 1 on the first machine.

Cause: a worker executes a command request again if a copy of it arrives and its token and session still match. While it holds an attempt, a copy of the start has no effect. After a command to forget the attempt, the copy starts it again. That command had the same token as the start, so nothing voided the copy until the next view. The crash in the case is not needed: a copy at any earlier time after the command to forget would have done the same.

Change: the record of a worker keeps the token of the latest direct command that started anything. Before a message tells the worker to forget attempts, the token is raised above that one. The worker takes over the higher token with that message, before it forgets anything, so it never accepts a copy of a start whose attempt it no longer holds. The token is raised at most once for each direct command with starts. Starts in heartbeat responses need no higher token: a worker drops a response after 4 s.

The recording direct-commands.txt contained the fault: a `reap` with the token of the `start` before it. It is replaced by direct-commands-raised-token.txt, compared byte for byte as before. No field, type or order of the format changes.

--- a/src/worker/commands.c
+++ b/src/worker/commands.c
@@ -96,6 +96,7 @@
   append_stops(worker, list); /* before starts, which may need the capacity that they free */
   append_commands_for_unplaced(worker, scope, list);
   if (may_start) append_starts(worker, list);
+  if (list->n_forgets) tmx_worker_fence_forgotten_attempts(worker);
 }
 
 void tmx_worker_derive_stops_of_ended_jobs(const struct tmx_worker *worker,
@@ -124,6 +125,7 @@
                                                     &body, timeout_s, callback, worker);
   tmx_buffer_free(&body);
   if (!worker->commands.in_flight) return;
+  if (list->n_starts) tmx_worker_record_direct_starts(worker);
   worker->workers->traffic.direct_commands++;
   tmx_worker_log_commands(worker, list, "direct");
 }
--- a/src/worker/commands.h
+++ b/src/worker/commands.h
@@ -26,7 +26,7 @@
 };
 
 /** Appends the commands that reconcile the worker with the log. Appends nothing if its machine
- * is not registered. */
+ * is not registered. May raise the worker's token, so the message must get its token afterwards. */
 void tmx_worker_derive_commands(struct tmx_worker *worker, enum tmx_command_scope scope,
                                 struct tmx_command_list *list);
 /** Appends stops for reported attempts whose jobs have ended, whether or not the log places these
--- a/src/worker/fencing.c
+++ b/src/worker/fencing.c
@@ -76,6 +76,20 @@
     ownership->required_session = worker->report.session;
 }
 
+void tmx_worker_record_direct_starts(struct tmx_worker *worker) {
+  worker->ownership.direct_start_token = tmx_worker_token(worker);
+}
+
+/* A copy of a direct command may arrive at any time after the command was executed, and is executed
+ * too if the worker has seen no higher token in that session. While the worker holds an attempt, a
+ * copy of its start has no effect; once it has forgotten the attempt, the copy would start it again
+ * (test_late_commands: a_late_copy_starts_no_attempt_of_a_task_that_runs_elsewhere). Starts in
+ * heartbeat responses need no higher token, since a worker drops a response after 4 s and sends the
+ * next heartbeat only then. */
+void tmx_worker_fence_forgotten_attempts(struct tmx_worker *worker) {
+  if (worker->ownership.direct_start_token == tmx_worker_token(worker)) raise_token(worker);
+}
+
 /* If the worker shows a token of the current view that is above the current token, this owner's
  * record of the machine was freed and created again. Only this owner issues tokens of this view for
  * the machine, so its sequence continues from the token shown. Otherwise the worker would seem to
--- a/src/worker/fencing.h
+++ b/src/worker/fencing.h
@@ -20,6 +20,11 @@
 /** Raises the token after a command got no response. Until the worker has seen the new token or has
  * started a later session, the absence of an attempt from its reports proves nothing. */
 void tmx_worker_fence_unanswered_command(struct tmx_worker *worker);
+/** Records that a direct command with starts was sent with the current token. */
+void tmx_worker_record_direct_starts(struct tmx_worker *worker);
+/** Raises the token above that of every direct command with starts. Must be called before a message
+ * tells the worker to forget attempts, so that it can no longer execute a copy of their starts. */
+void tmx_worker_fence_forgotten_attempts(struct tmx_worker *worker);
 /** Records the highest token that a new report shows; report.session must already be that of the
  * new report. `now` is in seconds on the steady clock. */
 void tmx_worker_record_token(struct tmx_worker *worker, uint64_t highest_token, double now);
--- a/src/worker/workers_internal.h
+++ b/src/worker/workers_internal.h
@@ -63,16 +63,18 @@
 /** This controller's ownership of the machine, and the machine's fencing tokens. Written by
  * fencing.c. */
 struct tmx_worker_ownership {
-  bool is_owner;             /**< this controller owns the machine by the view of `as_of_term` */
-  uint64_t as_of_term;       /**< term of the view from which `is_owner` was last derived */
-  double since;              /**< steady clock, s: when this controller became the owner */
-  uint32_t token_sequence;   /**< sequence number of the current token */
-  uint64_t highest_token;    /**< highest token that the worker reports to have seen */
-  uint64_t required_token;   /**< absence of an attempt proves nothing while highest_token is
-                                  lower and the session is not above required_session */
-  double required_since;     /**< steady clock, s: when the wait for required_token began */
-  uint64_t required_session; /**< a session above this one voids the commands with tokens below
-                                  required_token; UINT64_MAX: no session does */
+  bool is_owner;               /**< this controller owns the machine by the view of `as_of_term` */
+  uint64_t as_of_term;         /**< term of the view from which `is_owner` was last derived */
+  double since;                /**< steady clock, s: when this controller became the owner */
+  uint32_t token_sequence;     /**< sequence number of the current token */
+  uint64_t highest_token;      /**< highest token that the worker reports to have seen */
+  uint64_t direct_start_token; /**< token of the latest direct command that started an attempt; 0:
+                                  there was none */
+  uint64_t required_token;     /**< absence of an attempt proves nothing while highest_token is
+                                    lower and the session is not above required_session */
+  double required_since;       /**< steady clock, s: when the wait for required_token began */
+  uint64_t required_session;   /**< a session above this one voids the commands with tokens below
+                                    required_token; UINT64_MAX: no session does */
   bool report_may_predate_ownership; /**< no report is known to have been sent after this
                                         controller became the owner */
 };
--- a/tests/fake_worker.c
+++ b/tests/fake_worker.c
@@ -51,13 +51,11 @@
   worker->tasks[i].attempt = attempt;
 }
 
-static void decode_commands(struct fake_worker *worker, const cbor_item_t *map) {
+static void decode_commands(const cbor_item_t *map, struct fake_command *commands, size_t *count) {
   const cbor_item_t *list = tmx_cbor_get(map, W_COMMANDS);
-  worker->n_commands_received = 0;
-  for (size_t i = 0;
-       i < tmx_cbor_array_length(list) && worker->n_commands_received < FAKE_WORKER_COMMANDS_MAX;
-       i++) {
-    struct fake_command *command = &worker->commands_received[worker->n_commands_received++];
+  *count = 0;
+  for (size_t i = 0; i < tmx_cbor_array_length(list) && *count < FAKE_WORKER_COMMANDS_MAX; i++) {
+    struct fake_command *command = &commands[(*count)++];
     uint64_t attempt = 0;
     tmx_cbor_get_text(tmx_cbor_array_at(list, i), W_OPERATION, command->operation,
                       sizeof command->operation);
@@ -86,31 +84,46 @@
   worker->n_commands_received = 0;
 }
 
+static void decode_request(struct fake_worker *worker, const struct tmx_http_request *request,
+                           struct fake_command_request *decoded) {
+  cbor_item_t *map = tmx_cbor_parse(request->body, request->body_len);
+  memset(decoded, 0, sizeof *decoded);
+  tmx_cbor_get_u64(map, W_TOKEN, &decoded->token);
+  tmx_cbor_get_u64(map, W_SESSION, &decoded->session);
+  decode_commands(map, decoded->commands, &decoded->n_commands);
+  tmx_cbor_free(map);
+  struct fake_request_record *record = worker->record;
+  if (!record) return;
+  assert_in_range(record->n_requests, 0, FAKE_RECORDED_REQUESTS_MAX - 1);
+  record->requests[record->n_requests++] = *decoded;
+}
+
+int fake_worker_execute_request(struct fake_worker *worker,
+                                const struct fake_command_request *request) {
+  if (request->token < worker->token || request->session != worker->session) return 409;
+  worker->token = request->token;
+  memcpy(worker->commands_received, request->commands, sizeof request->commands);
+  worker->n_commands_received = request->n_commands;
+  fake_worker_execute_commands(worker);
+  return 200;
+}
+
 static void on_request(void *argument, struct tmx_http_request *request) {
   struct fake_worker *worker = argument;
   struct tmx_buffer buffer = {0};
-  if (worker->unresponsive || (worker->fails_commands && !strcmp(request->path, WP_COMMANDS))) {
-    if (!strcmp(request->path, WP_COMMANDS)) worker->command_requests++;
+  struct fake_command_request commands = {0};
+  bool has_commands = !strcmp(request->path, WP_COMMANDS);
+  if (has_commands) {
+    worker->command_requests++;
+    decode_request(worker, request, &commands);
+  }
+  if (worker->unresponsive || (worker->fails_commands && has_commands)) {
     tmx_http_reply(request, 500, NULL, 0);
     return;
   }
-  int status = 200;
-  if (!strcmp(request->path, WP_COMMANDS)) {
-    cbor_item_t *map = tmx_cbor_parse(request->body, request->body_len);
-    uint64_t token = 0, session = 0;
-    tmx_cbor_get_u64(map, W_TOKEN, &token);
-    tmx_cbor_get_u64(map, W_SESSION, &session);
-    worker->command_requests++;
-    if (token < worker->token || session != worker->session) {
-      status = 409;
-    } else {
-      worker->token = token;
-      decode_commands(worker, map);
-      fake_worker_execute_commands(worker);
-      if (worker->on_command) worker->on_command(worker, token);
-    }
-    tmx_cbor_free(map);
-  }
+  int status = has_commands ? fake_worker_execute_request(worker, &commands) : 200;
+  if (has_commands && status == 200 && worker->on_command)
+    worker->on_command(worker, commands.token);
   worker->sequence++;
   fake_worker_encode_report(worker, &buffer);
   tmx_http_reply(request, status, &buffer, 0);
@@ -138,7 +151,7 @@
     tmx_cbor_get_u64(map, W_TOKEN, &worker->response_token);
     if (worker->response_token >= worker->token) {
       worker->token = worker->response_token;
-      decode_commands(worker, map);
+      decode_commands(map, worker->commands_received, &worker->n_commands_received);
     }
   } else if (map) {
     tmx_cbor_get_text(map, W_OWNER, worker->redirected_to, sizeof worker->redirected_to);
--- a/tests/fake_worker.h
+++ b/tests/fake_worker.h
@@ -11,8 +11,9 @@
 #include "controller/controller_internal.h"
 
 enum {
-  FAKE_WORKER_TASKS_MAX = 64,   /**< maximum number of reported tasks, ended ones included */
-  FAKE_WORKER_COMMANDS_MAX = 64 /**< commands read from one message; more are ignored */
+  FAKE_WORKER_TASKS_MAX = 64,     /**< maximum number of reported tasks, ended ones included */
+  FAKE_WORKER_COMMANDS_MAX = 64,  /**< commands read from one message; more are ignored */
+  FAKE_RECORDED_REQUESTS_MAX = 64 /**< command requests that one record can hold */
 };
 
 /** A command as the worker received it. */
@@ -22,6 +23,19 @@
   uint32_t attempt;
 };
 
+/** A command request as the worker received it. */
+struct fake_command_request {
+  uint64_t token, session;
+  struct fake_command commands[FAKE_WORKER_COMMANDS_MAX];
+  size_t n_commands;
+};
+
+/** The command requests that arrived at a worker, failed ones included. */
+struct fake_request_record {
+  struct fake_command_request requests[FAKE_RECORDED_REQUESTS_MAX];
+  size_t n_requests;
+};
+
 /** A task as the worker reports it. */
 struct fake_reported_task {
   char task[48];
@@ -48,8 +62,9 @@
 
   struct fake_command commands_received[FAKE_WORKER_COMMANDS_MAX]; /**< commands not executed yet */
   size_t n_commands_received;
-  unsigned command_requests; /**< command requests so far, failed ones included */
-  unsigned executed_starts;  /**< tasks started so far */
+  unsigned command_requests;          /**< command requests so far, failed ones included */
+  unsigned executed_starts;           /**< tasks started so far */
+  struct fake_request_record *record; /**< not owned; NULL: requests are not recorded */
   /** Called after the commands of a request with this fencing token have been executed; NULL: no
    *  callback. */
   void (*on_command)(struct fake_worker *worker, uint64_t token);
@@ -73,6 +88,11 @@
 /** Executes the commands of the latest heartbeat response. Commands of a controller's request are
  *  executed on receipt. */
 void fake_worker_execute_commands(struct fake_worker *worker);
+/** Executes a command request if its token and session match. A test passes a recorded request as
+ *  a late copy, whose response reaches no controller.
+ *  @return the HTTP status of the response: 200 or 409 */
+int fake_worker_execute_request(struct fake_worker *worker,
+                                const struct fake_command_request *request);
 /** Sets how the worker reports an attempt of a task.
  *  @param state as on the wire; NULL: the attempt is removed from the report
  *  @param reason how it ended, as on the wire; NULL: not ended */
--- a/tests/test_worker_wire_format.c
+++ b/tests/test_worker_wire_format.c
@@ -81,7 +81,7 @@
   assert_string_equal(cancel_job(first_controller, "wk-000001").state, WV_CANCELLED);
   record_command(&recording, "the job is cancelled", exchange, "POST /commands", "halt");
   record_command(&recording, "a probe", NULL, "GET /show", NULL);
-  recording_check(&recording, "direct-commands.txt");
+  recording_check(&recording, "direct-commands-raised-token.txt");
 }
 
 /* The worker fails direct commands, so the controller sends all commands in its responses to the
