Fencing: the last token of a term starts nothing directly

Cause: a machine's token has 24 bits below the term. At the last of them raise_token() did nothing, so neither an unanswered command nor a message that forgets an attempt voided starts that were sent with that token. Since tokens are raised for forgotten attempts too, at most once for each direct command with starts, a machine at one raise a second would reach the end of a term in 194 days without a new view.

Change: with the last token, direct commands carry stops and forgets only. Starts go into the responses to heartbeats, which are never executed late, so there is no copy to void. A log line tells when a machine gets there.

Measured: the_last_token_of_a_term_starts_nothing_directly fails without the change (a direct start is sent with the last token) and passes with it; an_unanswered_start_is_voided_by_the_last_token passes before and after.

--- a/src/worker/commands.c
+++ b/src/worker/commands.c
@@ -68,7 +68,7 @@
     if (reported->in_log) continue;
     if (reported->state != TMX_REPORTED_EXITED) {
       append_command(list, WV_STOP, identify_reported_task(reported), 0.0);
-    } else if (scope == TMX_COMMANDS_ALL) {
+    } else if (scope != TMX_COMMANDS_STOPS_ONLY) {
       append_command(list, WV_FORGET, identify_reported_task(reported), NO_GRACE);
       list->n_forgets++;
     }
@@ -144,7 +144,9 @@
   if (!tmx_worker_update_ownership(worker) || !tmx_authority_may_act(workers->authority)) return;
   if (tmx_worker_has_newer_owner(worker)) return;
   struct tmx_command_list list = {0};
-  tmx_worker_derive_commands(worker, TMX_COMMANDS_ALL, &list);
+  bool may_start = tmx_worker_may_start_directly(worker);
+  tmx_worker_derive_commands(worker, may_start ? TMX_COMMANDS_ALL : TMX_COMMANDS_WITHOUT_STARTS,
+                             &list);
   if (list.count && tmx_worker_connect(worker, worker->report.description.addr))
     tmx_worker_post_commands(worker, &list, TMX_COMMAND_TIMEOUT_S, on_command_response);
   tmx_command_list_free(&list);
--- a/src/worker/commands.h
+++ b/src/worker/commands.h
@@ -21,8 +21,9 @@
 
 /** Which commands may be sent. */
 enum tmx_command_scope {
-  TMX_COMMANDS_ALL,        /**< starts, stops, and attempts that the worker may forget */
-  TMX_COMMANDS_STOPS_ONLY, /**< stops only: they may be sent at any time and are idempotent */
+  TMX_COMMANDS_ALL,            /**< starts, stops, and attempts that the worker may forget */
+  TMX_COMMANDS_WITHOUT_STARTS, /**< stops, and attempts that the worker may forget */
+  TMX_COMMANDS_STOPS_ONLY,     /**< stops only: they may be sent at any time and are idempotent */
 };
 
 /** Appends the commands that reconcile the worker with the log. Appends nothing if its machine
--- a/src/worker/fencing.c
+++ b/src/worker/fencing.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/log.h"
 
 static bool is_owner_by_view(const struct tmx_worker *worker) {
   const struct tmx_workers *workers = worker->workers;
@@ -23,9 +24,13 @@
 }
 
 static void raise_token(struct tmx_worker *worker) {
-  if (worker->ownership.token_sequence == TMX_TOKEN_SEQUENCE_MAX) return;
-  worker->ownership.token_sequence++;
+  struct tmx_worker_ownership *ownership = &worker->ownership;
+  if (ownership->token_sequence == TMX_TOKEN_SEQUENCE_MAX) return;
+  ownership->token_sequence++;
   worker->workers->traffic.raised_tokens++;
+  if (ownership->token_sequence == TMX_TOKEN_SEQUENCE_MAX)
+    tmx_log(TMX_LOG_INFO, "worker: %s: last token of the term, starts are sent in responses only",
+            worker->id);
 }
 
 /* Commands of the former owner may still be in flight. Until the worker has seen a token of the new
@@ -76,6 +81,13 @@
     ownership->required_session = worker->report.session;
 }
 
+/* No token of this term is above the last one. Direct commands with that token therefore start
+ * nothing: no copy of them has to be voided (test_late_commands:
+ * the_last_token_of_a_term_starts_nothing_directly). */
+bool tmx_worker_may_start_directly(const struct tmx_worker *worker) {
+  return worker->ownership.token_sequence < TMX_TOKEN_SEQUENCE_MAX;
+}
+
 void tmx_worker_record_direct_starts(struct tmx_worker *worker) {
   worker->ownership.direct_start_token = tmx_worker_token(worker);
 }
--- a/src/worker/fencing.h
+++ b/src/worker/fencing.h
@@ -20,6 +20,9 @@
 /** Raises the token after a command got no response. Until the worker has seen the new token or has
  * started a later session, the absence of an attempt from its reports proves nothing. */
 void tmx_worker_fence_unanswered_command(struct tmx_worker *worker);
+/** Returns whether direct commands may start attempts: a higher token remains that can void copies
+ * of them later. If not, starts must be sent in heartbeat responses. */
+bool tmx_worker_may_start_directly(const struct tmx_worker *worker);
 /** Records that a direct command with starts was sent with the current token. */
 void tmx_worker_record_direct_starts(struct tmx_worker *worker);
 /** Raises the token above that of every direct command with starts. Must be called before a message
--- a/tests/test_late_commands.c
+++ b/tests/test_late_commands.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "tmx/wire.h"
+#include "worker/worker_table.h"
 
 /* The command requests that `worker` received. */
 static struct fake_request_record record;
@@ -204,6 +205,63 @@
   assert_copies_start_nothing();
 }
 
+/* Sets the sequence number of the controller's token for `worker`, as after that many raised
+ * tokens, and shows the worker that token. */
+static void set_token_sequence(uint32_t sequence) {
+  struct tmx_worker *worker_record = tmx_worker_find(first_controller->workers, worker.id);
+  assert_non_null(worker_record);
+  worker_record->ownership.token_sequence = sequence;
+  for (int i = 0; i < 2; i++) send_heartbeat_and_execute(&worker);
+  assert_int_equal(worker.token & TMX_TOKEN_SEQUENCE_MAX, sequence);
+}
+
+/* Guards against running a task twice when the tokens of a term are used up. No token is left that
+ * could void a direct start, so tasks are started in heartbeat responses, which are never late.
+ * Stops are still sent directly. */
+static void the_last_token_of_a_term_starts_nothing_directly(void **state) {
+  (void)state;
+  set_token_sequence(TMX_TOKEN_SEQUENCE_MAX - 1);
+  start_directly("wk-000001", "wk-000001/0", "batch");
+  fake_worker_set_task(&worker, "wk-000001/0", 1, WV_EXITED, WV_DONE);
+  wait_until_forgotten("wk-000001/0");
+  assert_int_equal(worker.token & TMX_TOKEN_SEQUENCE_MAX, TMX_TOKEN_SEQUENCE_MAX);
+  assert_int_equal(submit_simple_job(first_controller, "wk-000002", "service", 1, 2, "t"), 201);
+  wait_for_placed(1);
+  run_loop_for(0.5);
+  assert_null(find_request(WV_START, "wk-000002/0"));
+  send_heartbeat_and_execute(&worker);
+  assert_true(holds(&worker, "wk-000002/0", 1));
+  send_heartbeat_and_execute(&worker); /* shows that the start was executed */
+  assert_string_equal(cancel_job(first_controller, "wk-000002").state, WV_CANCELLED);
+  run_loop_for(0.1);
+  assert_non_null(find_request(WV_STOP, "wk-000002/0"));
+  wait_until_forgotten("wk-000002/0");
+  assert_copies_start_nothing();
+  wait_for_placed(0);
+}
+
+/* Guards against freeing the capacity of a task that may still start, when the tokens of a term are
+ * used up: the last direct command with a start gets no response. Until the worker has seen the
+ * last token, the absence of the task proves nothing. */
+static void an_unanswered_start_is_voided_by_the_last_token(void **state) {
+  (void)state;
+  set_token_sequence(TMX_TOKEN_SEQUENCE_MAX - 1);
+  worker.fails_commands = true;
+  unsigned requests_before = worker.command_requests;
+  assert_int_equal(submit_simple_job(first_controller, "wk-000001", "batch", 1, 2, "t"), 201);
+  wait_for_placed(1);
+  wait_for_unanswered_command(requests_before);
+  struct fake_command_request start = *find_request(WV_START, "wk-000001/0");
+  assert_string_equal(cancel_job(first_controller, "wk-000001").state, WV_CANCELLED);
+  uint64_t token_before = worker.token;
+  fake_worker_send_heartbeat(&worker, first_controller);
+  worker.token = token_before; /* the response is lost */
+  assert_stays_placed(1, 0.5);
+  for (int i = 0; i < 2; i++) send_heartbeat_and_execute(&worker);
+  wait_for_placed(0);
+  assert_int_equal(fake_worker_execute_request(&worker, &start), 409);
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test_setup_teardown(a_late_copy_starts_no_attempt_of_a_task_that_runs_elsewhere,
@@ -220,6 +278,10 @@
                                       setup_recorded_worker, teardown_controllers),
       cmocka_unit_test_setup_teardown(copies_of_all_earlier_requests_start_nothing,
                                       setup_recorded_worker, teardown_controllers),
+      cmocka_unit_test_setup_teardown(the_last_token_of_a_term_starts_nothing_directly,
+                                      setup_recorded_worker, teardown_controllers),
+      cmocka_unit_test_setup_teardown(an_unanswered_start_is_voided_by_the_last_token,
+                                      setup_recorded_worker, teardown_controllers),
       cmocka_unit_test_setup_teardown(a_token_is_raised_only_for_starts_that_it_does_not_void_yet,
                                       setup_recorded_worker, teardown_controllers),
   };
