Fencing: each term begins with the first sequence number of a token

Cause: docs/design.md says that a new view resets the sequence numbers, but the code went on counting while a controller kept its machine. At the last number no later view would have given the machine usable tokens again.

Change: the record of a worker notes the latest term; a later term sets the sequence number to 0. All tokens of a later term are above those of the earlier ones, so nothing that is fenced becomes valid again. A view that is read again has the same term and resets nothing.

--- a/src/worker/fencing.c
+++ b/src/worker/fencing.c
@@ -53,10 +53,19 @@
   worker->probing.consecutive_lost = 0;
 }
 
+/* All tokens of a new term are above those of the terms before it, so that it begins with the first
+ * of its sequence numbers (test_late_commands: a_new_term_begins_with_its_first_token). */
+static void update_token_term(struct tmx_worker_ownership *ownership, uint64_t term) {
+  if (term <= ownership->token_term) return;
+  ownership->token_term = term;
+  ownership->token_sequence = 0;
+}
+
 bool tmx_worker_update_ownership(struct tmx_worker *worker) {
   struct tmx_worker_ownership *ownership = &worker->ownership;
   bool is_owner = is_owner_by_view(worker);
   uint64_t term = worker->workers->replica->view.term;
+  update_token_term(ownership, term);
   /* A missed view may have given the machine to another controller, and a later one back. */
   bool views_were_missed = term > ownership->as_of_term + 1;
   if (is_owner && (!ownership->is_owner || views_were_missed)) become_owner(worker, term);
--- a/src/worker/workers_internal.h
+++ b/src/worker/workers_internal.h
@@ -66,6 +66,7 @@
   bool is_owner;               /**< this controller owns the machine by the view of `as_of_term` */
   uint64_t as_of_term;         /**< term of the view from which `is_owner` was last derived */
   double since;                /**< steady clock, s: when this controller became the owner */
+  uint64_t token_term;         /**< latest term of a view; token_sequence counts within it */
   uint32_t token_sequence;     /**< sequence number of the current token */
   uint64_t highest_token;      /**< highest token that the worker reports to have seen */
   uint64_t direct_start_token; /**< token of the latest direct command that started an attempt; 0:
--- a/tests/test_late_commands.c
+++ b/tests/test_late_commands.c
@@ -5,6 +5,7 @@
 
 #include <string.h>
 
+#include "replica/view.h"
 #include "tmx/wire.h"
 #include "worker/worker_table.h"
 
@@ -240,6 +241,37 @@
   wait_for_placed(0);
 }
 
+/* Commits a view with the next term and the same members. */
+static void begin_new_term(void) {
+  struct tmx_view view = first_controller->replica.view;
+  struct tmx_buffer value = {0};
+  view.term++;
+  tmx_view_encode(&value, &view);
+  fake_put(TMX_KEY_VIEW, &value);
+  tmx_buffer_free(&value);
+  run_loop_for(0.1);
+  assert_int_equal(first_controller->replica.view.term, view.term);
+}
+
+/* Guards against tokens that are used up for good at a controller that keeps its machine through
+ * many views. The next term begins with its first token, which voids all starts before it. */
+static void a_new_term_begins_with_its_first_token(void **state) {
+  (void)state;
+  set_token_sequence(TMX_TOKEN_SEQUENCE_MAX - 1);
+  start_directly("wk-000001", "wk-000001/0", "batch");
+  fake_worker_set_task(&worker, "wk-000001/0", 1, WV_EXITED, WV_DONE);
+  wait_until_forgotten("wk-000001/0");
+  uint64_t last_token = worker.token;
+  begin_new_term();
+  send_heartbeat_and_execute(&worker);
+  assert_int_equal(worker.token, last_token + 1);
+  start_directly("wk-000002", "wk-000002/0", "batch");
+  fake_worker_set_task(&worker, "wk-000002/0", 1, WV_EXITED, WV_DONE);
+  wait_until_forgotten("wk-000002/0");
+  assert_int_equal(worker.token, last_token + 2);
+  assert_copies_start_nothing();
+}
+
 /* Guards against freeing the capacity of a task that may still start, when the tokens of a term are
  * used up: the last direct command with a start gets no response. Until the worker has seen the
  * last token, the absence of the task proves nothing. */
@@ -280,6 +312,8 @@
                                       setup_recorded_worker, teardown_controllers),
       cmocka_unit_test_setup_teardown(the_last_token_of_a_term_starts_nothing_directly,
                                       setup_recorded_worker, teardown_controllers),
+      cmocka_unit_test_setup_teardown(a_new_term_begins_with_its_first_token, setup_recorded_worker,
+                                      teardown_controllers),
       cmocka_unit_test_setup_teardown(an_unanswered_start_is_voided_by_the_last_token,
                                       setup_recorded_worker, teardown_controllers),
       cmocka_unit_test_setup_teardown(a_token_is_raised_only_for_starts_that_it_does_not_void_yet,
