--- a/tests/cluster/cluster_load.c
+++ b/tests/cluster/cluster_load.c
@@ -27,7 +27,7 @@
 gsl_rng *cluster_rng;
 static int machines = 2187, nodes = 5, seconds = 60, services = 280, arrays = 30, n_restarted,
            seed = 1;
-static double report_s = 10, run_s = 50, surge;
+static double report_s = 10, run_s = 50, surge, late_copies;
 static char *operator_config, *history_path, *failures[FAILURES_MAX];
 static size_t n_failures;
 static double started_at;
@@ -136,6 +136,9 @@
       "second\n",
       workers.slowest_report, users.slowest_submission,
       (fake_store.commits - state_commits) / duration_s, (reads - state_reads) / duration_s);
+  if (late_copies > 0)
+    printf("%-22s  late copies: %u, accepted %u\n", phase, workers.late_copies,
+           workers.accepted_copies);
   state_commits = fake_store.commits;
   state_reads = reads;
   fflush(stdout);
@@ -186,6 +189,8 @@
       {"report", 0, POPT_ARG_DOUBLE, &report_s, 0, "between reports, s", "S"},
       {"away", 0, POPT_ARG_INT, &n_restarted, 0, "then end so many controllers for a time", "N"},
       {"surge", 0, POPT_ARG_DOUBLE, &surge, 0, "instead: this many times what can be served", "X"},
+      {"late-copies", 0, POPT_ARG_DOUBLE, &late_copies, 0,
+       "share of command requests of which a late copy arrives", "SHARE"},
       {"seed", 0, POPT_ARG_INT, &seed, 0, "of the random numbers", "N"},
       {"operator-config", 'o', POPT_ARG_STRING, &operator_config, 0, "of the controllers", "FILE"},
       {"history", 0, POPT_ARG_STRING, &history_path, 0, "what all did, for history_checker",
@@ -230,7 +235,8 @@
                                        .report_s = report_s,
                                        .lease_s = 42,
                                        .run_s = users_run_s,
-                                       .on_begin = users_task_began});
+                                       .on_begin = users_task_began,
+                                       .late_copies = late_copies});
   ev_timer timer;
   ev_timer_init(&timer, on_step, 0, step_s);
   ev_timer_start(test_loop, &timer);
--- a/tests/cluster/history.h
+++ b/tests/cluster/history.h
@@ -29,7 +29,8 @@
                      const char *task, uint32_t attempt);
 /** Records that a task started on a machine. */
 void history_begin(const char *machine, const char *task, uint32_t attempt);
-/** Records that a task ended on a machine. @param how "done", or another reason */
+/** Records that a task ended on a machine. @param how "done" or another reason; "lease": the
+ * worker's session ended, and the worker has forgotten the attempt, which may have ended before */
 void history_end(const char *machine, const char *task, uint32_t attempt, const char *how);
 
 /** The number of lines, and the number of violations of each rule. */
@@ -37,6 +38,7 @@
   unsigned lines, unreadable;
   unsigned lost;       /**< accepted jobs that no final poll found */
   unsigned overlaps;   /**< starts of a task that was already running */
+  unsigned restarts;   /**< starts of an attempt that ended before in the same session */
   unsigned two_owners; /**< commands of two controllers with the same term, or of an earlier term */
   unsigned unplanned;  /**< starts on another machine or of another attempt than last placed */
   unsigned went_back;  /**< responses that lose an accepted job or change a final state */
--- a/tests/cluster/history_check.c
+++ b/tests/cluster/history_check.c
@@ -22,6 +22,7 @@
   char machine[NAME_BYTES]; /* machine that runs the task; empty: none */
   char placed[NAME_BYTES];  /* machine of the latest attempt in the log */
   unsigned attempt;
+  unsigned ended_attempt; /* latest attempt that ended within its worker's session; 0: none */
   bool done;
   UT_hash_handle hh;
 };
@@ -106,15 +107,28 @@
   struct task *task = task_of(check, id);
   if (task->machine[0])
     add_finding(check, &check->findings.overlaps, "started while already running");
+  if (attempt <= task->ended_attempt)
+    add_finding(check, &check->findings.restarts, "an ended attempt was started again");
   if (strcmp(task->placed, machine) || task->attempt != attempt)
     add_finding(check, &check->findings.unplanned, "started without a committed placement");
   snprintf(task->machine, sizeof task->machine, "%s", machine);
 }
 
-static void on_end(struct check *check, const char *id, const char *how) {
+/* The end of a session makes the worker forget all attempts. Those whose ends were not recorded in
+ * the log may then be started again. */
+static void record_ended_attempt(struct task *task, unsigned attempt, const char *how) {
+  if (strcmp(how, "lease"))
+    task->ended_attempt = attempt;
+  else if (task->ended_attempt == attempt)
+    task->ended_attempt = 0;
+}
+
+static void on_end(struct check *check, const char *id, unsigned attempt, const char *machine,
+                   const char *how) {
   struct task *task = task_of(check, id);
   char name[NAME_BYTES];
-  task->machine[0] = 0;
+  record_ended_attempt(task, attempt, how);
+  if (!strcmp(task->machine, machine)) task->machine[0] = 0;
   if (strcmp(how, WV_DONE) || task->done) return;
   task->done = true;
   snprintf(name, sizeof name, "%.*s", (int)strcspn(id, "/"), id);
@@ -140,7 +154,7 @@
   } else if (!strcmp(what, "begin")) {
     on_begin(check, task, (unsigned)attempt, machine);
   } else if (!strcmp(what, "end")) {
-    on_end(check, task, how);
+    on_end(check, task, (unsigned)attempt, machine, how);
   } else {
     check->findings.unreadable++;
   }
@@ -187,6 +201,6 @@
 }
 
 unsigned history_count_violations(const struct history_findings *findings) {
-  return findings->unreadable + findings->lost + findings->overlaps + findings->two_owners +
-         findings->unplanned + findings->went_back + findings->not_done;
+  return findings->unreadable + findings->lost + findings->overlaps + findings->restarts +
+         findings->two_owners + findings->unplanned + findings->went_back + findings->not_done;
 }
--- a/tests/cluster/history_checker.c
+++ b/tests/cluster/history_checker.c
@@ -14,9 +14,9 @@
   struct history_findings findings = history_check(input, stdout);
   fclose(input);
   printf(
-      "%u lines: unreadable %u, lost %u, overlaps %u, two owners %u, unplanned %u, went back "
-      "%u, not done %u\n",
-      findings.lines, findings.unreadable, findings.lost, findings.overlaps, findings.two_owners,
-      findings.unplanned, findings.went_back, findings.not_done);
+      "%u lines: unreadable %u, lost %u, overlaps %u, restarts %u, two owners %u, unplanned %u, "
+      "went back %u, not done %u\n",
+      findings.lines, findings.unreadable, findings.lost, findings.overlaps, findings.restarts,
+      findings.two_owners, findings.unplanned, findings.went_back, findings.not_done);
   return !findings.lines || history_count_violations(&findings) ? 1 : 0;
 }
--- a/tests/cluster/workers.c
+++ b/tests/cluster/workers.c
@@ -21,6 +21,17 @@
   double lease_renewed_at;          /* time at which the latest answered heartbeat was sent */
   struct fake_worker last_recorded; /* state at the last call of record_changes */
 };
+/* A copy of a command request, which arrives late. */
+struct late_copy {
+  struct worker *worker;
+  double due_at;
+  struct fake_command_request request;
+  struct late_copy *next;
+};
+/* A copy arrives up to this time after the original, s: about a lease. */
+static const double late_copy_delay_max_s = 40;
+
+static struct late_copy *late_copies;
 static struct workers_setup setup;
 static struct worker *workers;
 static struct workers_statistics statistics;
@@ -82,13 +93,41 @@
   if (worker->agent.executed_starts != previous_starts) worker->next_report_at = now + 0.5;
 }
 
+static void copy_later(struct worker *worker, const struct fake_command_request *request) {
+  struct late_copy *copy = calloc(1, sizeof *copy);
+  if (!copy) abort();
+  copy->worker = worker;
+  copy->due_at = tmx_clock_steady() + late_copy_delay_max_s * gsl_rng_uniform(cluster_rng);
+  copy->request = *request;
+  copy->next = late_copies;
+  late_copies = copy;
+}
+
 /* Handles a direct command. It records the tasks that the command started or ended. It does not
  * record the command itself, because the request holds only a token with a term and does not name
  * the controller that sent it. */
-static void on_command(struct fake_worker *agent, uint64_t token) {
-  (void)token;
+static void on_command(struct fake_worker *agent, const struct fake_command_request *request) {
   struct worker *worker = (struct worker *)((char *)agent - offsetof(struct worker, agent));
   record_changes(worker);
+  if (request->n_commands && gsl_rng_uniform(cluster_rng) < setup.late_copies)
+    copy_later(worker, request);
+}
+
+/* Delivers the copies that are due. Their responses reach no controller. */
+static void deliver_late_copies(double now) {
+  for (struct late_copy **link = &late_copies; *link;) {
+    struct late_copy *copy = *link;
+    if (copy->due_at > now) {
+      link = &copy->next;
+      continue;
+    }
+    *link = copy->next;
+    bool is_accepted = fake_worker_execute_request(&copy->worker->agent, &copy->request) == 200;
+    record_changes(copy->worker);
+    statistics.late_copies++;
+    statistics.accepted_copies += is_accepted;
+    free(copy);
+  }
 }
 
 static void run_tasks(struct worker *worker, double now, double elapsed_s) {
@@ -108,9 +147,8 @@
 /* Ends all tasks after the lease has expired, and starts a new session. */
 static void end_session(struct worker *worker, double now) {
   for (size_t i = 0; i < worker->agent.n_tasks; i++)
-    if (!strcmp(worker->agent.tasks[i].state, WV_RUNNING))
-      history_end(worker->agent.id, worker->agent.tasks[i].task, worker->agent.tasks[i].attempt,
-                  "lease");
+    history_end(worker->agent.id, worker->agent.tasks[i].task, worker->agent.tasks[i].attempt,
+                "lease");
   worker->agent.n_tasks = worker->last_recorded.n_tasks = 0;
   worker->agent.session++;
   worker->lease_renewed_at = now;
@@ -128,6 +166,7 @@
 }
 
 void workers_step(double now, double elapsed_s) {
+  deliver_late_copies(now);
   for (int i = 0; i < setup.machines; i++) {
     struct worker *worker = &workers[i];
     run_tasks(worker, now, elapsed_s);
--- a/tests/cluster/workers.h
+++ b/tests/cluster/workers.h
@@ -11,12 +11,15 @@
   double (*run_s)(
       const char *task); /**< mean run time of a task, s; 0: it runs until it is stopped */
   void (*on_begin)(const char *task); /**< called when a task has started; may be NULL */
+  double late_copies; /**< share of command requests of which a copy arrives up to 40 s later */
 };
 
-/** A count since the start, and the maximum since the last call of workers_take_statistics. */
+/** Counts since the start, and the maximum since the last call of workers_take_statistics. */
 struct workers_statistics {
-  unsigned finished;     /**< number of finished tasks */
-  double slowest_report; /**< longest response time of a heartbeat, s */
+  unsigned finished;        /**< number of finished tasks */
+  unsigned late_copies;     /**< number of late copies of command requests that arrived */
+  unsigned accepted_copies; /**< of these, the ones whose token and session still matched */
+  double slowest_report;    /**< longest response time of a heartbeat, s */
 };
 
 /** Creates the workers, and distributes them evenly over the controllers. */
--- a/tests/fake_worker.c
+++ b/tests/fake_worker.c
@@ -122,8 +122,7 @@
     return;
   }
   int status = has_commands ? fake_worker_execute_request(worker, &commands) : 200;
-  if (has_commands && status == 200 && worker->on_command)
-    worker->on_command(worker, commands.token);
+  if (has_commands && status == 200 && worker->on_command) worker->on_command(worker, &commands);
   worker->sequence++;
   fake_worker_encode_report(worker, &buffer);
   tmx_http_reply(request, status, &buffer, 0);
--- a/tests/fake_worker.h
+++ b/tests/fake_worker.h
@@ -65,9 +65,8 @@
   unsigned command_requests;          /**< command requests so far, failed ones included */
   unsigned executed_starts;           /**< tasks started so far */
   struct fake_request_record *record; /**< not owned; NULL: requests are not recorded */
-  /** Called after the commands of a request with this fencing token have been executed; NULL: no
-   *  callback. */
-  void (*on_command)(struct fake_worker *worker, uint64_t token);
+  /** Called after the commands of a request have been executed; NULL: no callback. */
+  void (*on_command)(struct fake_worker *worker, const struct fake_command_request *request);
 };
 
 /** Initializes a worker without tasks, in session 1, that listens on its own address. The test
--- a/tests/test_history.c
+++ b/tests/test_history.c
@@ -56,6 +56,10 @@
   findings = check(ACCEPTED PLACED("n-1", "1") BEGIN("n-1", "1") END("lease") PLACED("n-2", "2")
                        BEGIN("n-2", "2") POLLED("200", "running", "true"));
   assert_int_equal(history_count_violations(&findings), 0);
+  /* An attempt whose end was not recorded is started again after its worker's session has ended. */
+  findings = check(ACCEPTED PLACED("n-1", "1") BEGIN("n-1", "1") END("error") END("lease")
+                       BEGIN("n-1", "1") POLLED("200", "running", "true"));
+  assert_int_equal(history_count_violations(&findings), 0);
 }
 
 static void each_violation_is_found_alone(void **state) {
@@ -68,6 +72,8 @@
       {offsetof(struct history_findings, lost), ACCEPTED POLLED("503", "", "true")},
       {offsetof(struct history_findings, overlaps),
        PLACED("n-1", "1") BEGIN("n-1", "1") PLACED("n-2", "2") BEGIN("n-2", "2")},
+      {offsetof(struct history_findings, restarts),
+       PLACED("n-1", "1") BEGIN("n-1", "1") END("stopped") BEGIN("n-1", "1")},
       {offsetof(struct history_findings, two_owners), ORDER("0", TERM_1) ORDER("1", TERM_1)},
       {offsetof(struct history_findings, two_owners), ORDER("0", TERM_2) ORDER("1", TERM_1)},
       {offsetof(struct history_findings, unplanned), BEGIN("n-1", "1")},
