Fencing: a new record of a worker voids the starts of the record before it

Cause: the token with which starts were last sent directly is part of the worker's record. If the record is freed and created again within a term, the new one counts no starts, and its first message that forgets attempts had the token of the old one's starts. No way to lose the record of a machine with tasks is known (only unregistered ones are evicted, when the table is full).

Change: a controller that becomes the owner assumes that starts were sent with its first token. This costs one raised token a machine and takeover, with a message that is sent anyway.

Measured: a_new_worker_record_voids_the_starts_of_the_earlier_one fails without the change (a copy starts the task again) and passes with it.

--- a/src/worker/fencing.c
+++ b/src/worker/fencing.c
@@ -44,6 +44,9 @@
    * needed (test_leader_change: a_replica_reload_in_the_same_view_raises_the_token). */
   if (term == ownership->as_of_term) raise_token(worker);
   ownership->required_token = tmx_worker_token(worker);
+  /* An earlier record of this worker may have sent starts with this token (test_late_commands:
+   * a_new_worker_record_voids_the_starts_of_the_earlier_one). */
+  ownership->direct_start_token = ownership->required_token;
   ownership->report_may_predate_ownership = true;
   ownership->required_since = tmx_clock_steady();
   ownership->required_session = UINT64_MAX;
--- a/src/worker/workers_internal.h
+++ b/src/worker/workers_internal.h
@@ -69,8 +69,8 @@
   uint64_t token_term;         /**< latest term of a view; token_sequence counts within it */
   uint32_t token_sequence;     /**< sequence number of the current token */
   uint64_t highest_token;      /**< highest token that the worker reports to have seen */
-  uint64_t direct_start_token; /**< token of the latest direct command that started an attempt; 0:
-                                  there was none */
+  uint64_t direct_start_token; /**< latest token with which a direct command may have started an
+                                  attempt; 0: there was none */
   uint64_t required_token;     /**< absence of an attempt proves nothing while highest_token is
                                     lower and the session is not above required_session */
   double required_since;       /**< steady clock, s: when the wait for required_token began */
--- a/tests/test_late_commands.c
+++ b/tests/test_late_commands.c
@@ -165,6 +165,18 @@
   assert_copies_start_nothing();
 }
 
+/* Guards against running a task twice. The controller's record of the worker is freed and created
+ * again within a term. The new record does not know which starts were sent. */
+static void a_new_worker_record_voids_the_starts_of_the_earlier_one(void **state) {
+  (void)state;
+  start_directly("wk-000001", "wk-000001/0", "batch");
+  tmx_worker_free(tmx_worker_find(first_controller->workers, worker.id));
+  run_loop_for(2 * TMX_RECLAIM_PERIOD_S); /* the record is created again */
+  fake_worker_set_task(&worker, "wk-000001/0", 1, WV_EXITED, WV_DONE);
+  wait_until_forgotten("wk-000001/0");
+  assert_copies_start_nothing();
+}
+
 /* Guards against a token that voids some starts only. Attempts are started and forgotten in turn,
  * so that a request starts one attempt and lets the worker forget another. After each step, no copy
  * of any earlier request may start anything. */
@@ -308,6 +320,8 @@
                                       setup_recorded_worker, teardown_controllers),
       cmocka_unit_test_setup_teardown(a_successor_that_forgets_an_attempt_voids_its_start,
                                       setup_recorded_worker, teardown_controllers),
+      cmocka_unit_test_setup_teardown(a_new_worker_record_voids_the_starts_of_the_earlier_one,
+                                      setup_recorded_worker, teardown_controllers),
       cmocka_unit_test_setup_teardown(copies_of_all_earlier_requests_start_nothing,
                                       setup_recorded_worker, teardown_controllers),
       cmocka_unit_test_setup_teardown(the_last_token_of_a_term_starts_nothing_directly,
