Stop modes: one enum instead of three

The planner and the worker's commands had copies of enum tmx_stop_mode, one of them as letters of the log. Both use the enum now, and tmx_operation_stop_reason() makes the letter.

--- a/src/planner/preemption.c
+++ b/src/planner/preemption.c
@@ -93,7 +93,7 @@
   /* A service does not wait until the victim has saved a checkpoint. */
   bool may_save = spec->checkpoint_s > 0 && !job->record.spec->service;
   tmx_round_emit(round, TMX_OPERATION_STOP, victim->job, task->task, task->attempt)->reason =
-      may_save ? STOP_AFTER_CHECKPOINT : STOP_AT_ONCE;
+      tmx_operation_stop_reason(may_save ? TMX_STOP_AFTER_SAVING : TMX_STOP_AT_ONCE);
   tmx_round_snapshot_machine(round, machine);
   tmx_round_mark_preempted(round, machine, victim->task);
   tmx_resources_set_releasing(
--- a/src/planner/round.h
+++ b/src/planner/round.h
@@ -94,13 +94,6 @@
   size_t n_reserved_machines; /**< entries in use */
 };
 
-/** How a worker stops a task. The value is the `reason` of a TMX_OPERATION_STOP operation and is
- * stored in the log. */
-enum stop_mode {
-  STOP_AT_ONCE = '1',         /**< the task loses its work since the latest checkpoint */
-  STOP_AFTER_CHECKPOINT = '2' /**< the task saves a checkpoint first */
-};
-
 /** The purpose of a reservation of capacity on a machine. */
 enum reservation {
   RESERVATION_FOR_PLACEMENT, /**< for a placement here or by the planning member; in team usage */
--- a/src/planner/service_migration.c
+++ b/src/planner/service_migration.c
@@ -44,7 +44,8 @@
   if (new_machine < 0) return false;
   tmx_round_reserve(round, job, new_machine, RESERVATION_UNTIL_RELEASE);
   const struct tmx_plan_task *task = &machine->record.tasks[task_index];
-  tmx_round_emit(round, TMX_OPERATION_STOP, job, task->task, task->attempt)->reason = STOP_AT_ONCE;
+  tmx_round_emit(round, TMX_OPERATION_STOP, job, task->task, task->attempt)->reason =
+      tmx_operation_stop_reason(TMX_STOP_AT_ONCE);
   return true;
 }
 
--- a/src/replica/apply_operation.c
+++ b/src/replica/apply_operation.c
@@ -107,7 +107,7 @@
 
 static void apply_stop(struct tmx_replica *replica, struct tmx_task *task,
                        const struct tmx_operation *operation) {
-  const bool after_saving = operation->reason == '0' + TMX_STOP_AFTER_SAVING;
+  const bool after_saving = operation->reason == tmx_operation_stop_reason(TMX_STOP_AFTER_SAVING);
   task->stop_mode = after_saving ? TMX_STOP_AFTER_SAVING : TMX_STOP_AT_ONCE;
   tmx_replica_notify_machine(replica, task->machine);
 }
--- a/src/replica/operation.h
+++ b/src/replica/operation.h
@@ -45,6 +45,9 @@
                            placements only; not part of the line */
 };
 
+/** The `reason` of an operation that requests a stop of this mode (enum tmx_stop_mode). */
+static inline char tmx_operation_stop_reason(int stop_mode) { return (char)('0' + stop_mode); }
+
 /** Writes the operation's line. @return the line's length, as snprintf() does. */
 int tmx_operation_print(char *out, size_t capacity, const struct tmx_operation *operation);
 /** Parses a line that holds one operation. @return false if the line is anything else. */
--- a/src/worker/commands.c
+++ b/src/worker/commands.c
@@ -9,8 +9,6 @@
 #include "worker/traffic.h"
 #include "worker/worker_connection.h"
 
-/* Value of tmx_task.stop_mode: stop after a checkpoint has been saved. */
-enum { STOP_AFTER_SAVING = 2 };
 /* The grace period of a command that has none. */
 static const double NO_GRACE = -1;
 
@@ -49,7 +47,7 @@
     if (!tmx_worker_reports_task(worker, task) || task->reported_state == TMX_REPORTED_EXITED ||
         !tmx_task_must_end(task))
       continue;
-    bool saves = task->stop_mode == STOP_AFTER_SAVING && !task->job->outcome;
+    bool saves = task->stop_mode == TMX_STOP_AFTER_SAVING && !task->job->outcome;
     if (saves && task->reported_state == TMX_REPORTED_SAVING) continue;
     append_command(list, WV_STOP, identify_task(task),
                    saves ? task->job->spec.checkpoint_save_s + 1.0 : 0.0);
