Fencing: a message that raises the token to the last one starts nothing directly

Cause: whether a direct command may start attempts was decided before its command to forget raised the token. A message that forgot one attempt could raise the token to the last one of the term and start another attempt with it, which nothing could void later.

Change: the token is raised before starts are added, and the decision follows it. TMX_COMMANDS_DIRECT names the scope.

Measured: a_message_that_raises_the_token_to_the_last_one_starts_nothing_directly fails with the decision in the old place (1 start in place of 0) and passes with the change; test_late_commands 13 of 13.

--- a/src/worker/commands.c
+++ b/src/worker/commands.c
@@ -83,18 +83,24 @@
   }
 }
 
+/* Returns whether a message of this scope may start attempts. Nothing is started while the replica
+ * is stale, as the job may have been cancelled in the meantime (test_cancellation:
+ * nothing_starts_on_a_stale_replica). */
+static bool may_start(const struct tmx_worker *worker, enum tmx_command_scope scope) {
+  if (scope == TMX_COMMANDS_STOPS_ONLY) return false;
+  if (scope == TMX_COMMANDS_DIRECT && !tmx_worker_may_start_directly(worker)) return false;
+  return tmx_authority_may_start_tasks(worker->workers->authority);
+}
+
 void tmx_worker_derive_commands(struct tmx_worker *worker, enum tmx_command_scope scope,
                                 struct tmx_command_list *list) {
-  /* Nothing is started while the replica is stale, as the job may have been cancelled in the
-   * meantime (test_cancellation: nothing_starts_on_a_stale_replica). */
-  bool may_start =
-      scope == TMX_COMMANDS_ALL && tmx_authority_may_start_tasks(worker->workers->authority);
   if (!worker->machine || !worker->machine->registered) return;
   tmx_worker_reconcile(worker);
   append_stops(worker, list); /* before starts, which may need the capacity that they free */
   append_commands_for_unplaced(worker, scope, list);
-  if (may_start) append_starts(worker, list);
+  /* before starts, which the message sends with the raised token */
   if (list->n_forgets) tmx_worker_fence_forgotten_attempts(worker);
+  if (may_start(worker, scope)) append_starts(worker, list);
 }
 
 void tmx_worker_derive_stops_of_ended_jobs(const struct tmx_worker *worker,
@@ -142,9 +148,7 @@
   if (!tmx_worker_update_ownership(worker) || !tmx_authority_may_act(workers->authority)) return;
   if (tmx_worker_has_newer_owner(worker)) return;
   struct tmx_command_list list = {0};
-  bool may_start = tmx_worker_may_start_directly(worker);
-  tmx_worker_derive_commands(worker, may_start ? TMX_COMMANDS_ALL : TMX_COMMANDS_WITHOUT_STARTS,
-                             &list);
+  tmx_worker_derive_commands(worker, TMX_COMMANDS_DIRECT, &list);
   if (list.count && tmx_worker_connect(worker, worker->report.description.addr))
     tmx_worker_post_commands(worker, &list, TMX_COMMAND_TIMEOUT_S, on_command_response);
   tmx_command_list_free(&list);
--- a/src/worker/commands.h
+++ b/src/worker/commands.h
@@ -21,9 +21,11 @@
 
 /** Which commands may be sent. */
 enum tmx_command_scope {
-  TMX_COMMANDS_ALL,            /**< starts, stops, and attempts that the worker may forget */
-  TMX_COMMANDS_WITHOUT_STARTS, /**< stops, and attempts that the worker may forget */
-  TMX_COMMANDS_STOPS_ONLY,     /**< stops only: they may be sent at any time and are idempotent */
+  TMX_COMMANDS_ALL,    /**< starts, stops, and attempts that the worker may forget; for heartbeat
+                            responses */
+  TMX_COMMANDS_DIRECT, /**< the same for direct commands: starts only if their token is not the
+                            last one of the term */
+  TMX_COMMANDS_STOPS_ONLY, /**< stops only: they may be sent at any time and are idempotent */
 };
 
 /** Appends the commands that reconcile the worker with the log. Appends nothing if its machine
--- a/tests/test_late_commands.c
+++ b/tests/test_late_commands.c
@@ -7,6 +7,8 @@
 
 #include "replica/view.h"
 #include "tmx/wire.h"
+#include "worker/commands.h"
+#include "worker/fencing.h"
 #include "worker/worker_table.h"
 
 /* The command requests that `worker` received. */
@@ -253,6 +255,34 @@
   wait_for_placed(0);
 }
 
+/* Guards against running a task twice at the end of a term's tokens. A message forgets one attempt,
+ * which raises the token to the last one, and would start another attempt. */
+static void a_message_that_raises_the_token_to_the_last_one_starts_nothing_directly(void **state) {
+  (void)state;
+  struct tmx_worker *worker_record = tmx_worker_find(first_controller->workers, worker.id);
+  set_token_sequence(TMX_TOKEN_SEQUENCE_MAX - 1);
+  start_directly("wk-000001", "wk-000001/0", "batch");
+  refuse_direct_connections();
+  fake_worker_set_task(&worker, "wk-000001/0", 1, WV_EXITED, WV_DONE);
+  fake_worker_send_heartbeat(&worker, first_controller);
+  wait_for_placed(0);
+  assert_int_equal(submit_simple_job(first_controller, "wk-000002", "batch", 1, 2, "t"), 201);
+  wait_for_placed(1);
+  run_loop_for(0.1);
+  /* as before the commands that could not be sent */
+  worker_record->ownership.token_sequence = TMX_TOKEN_SEQUENCE_MAX - 1;
+  worker_record->ownership.direct_start_token = tmx_worker_token(worker_record);
+  struct tmx_command_list direct = {0}, response = {0};
+  tmx_worker_derive_commands(worker_record, TMX_COMMANDS_DIRECT, &direct);
+  assert_int_equal(worker_record->ownership.token_sequence, TMX_TOKEN_SEQUENCE_MAX);
+  assert_int_equal(direct.n_forgets, 1);
+  assert_int_equal(direct.n_starts, 0);
+  tmx_worker_derive_commands(worker_record, TMX_COMMANDS_ALL, &response);
+  assert_int_equal(response.n_starts, 1);
+  tmx_command_list_free(&direct);
+  tmx_command_list_free(&response);
+}
+
 /* Commits a view with the next term and the same members. */
 static void begin_new_term(void) {
   struct tmx_view view = first_controller->replica.view;
@@ -326,6 +356,9 @@
                                       setup_recorded_worker, teardown_controllers),
       cmocka_unit_test_setup_teardown(the_last_token_of_a_term_starts_nothing_directly,
                                       setup_recorded_worker, teardown_controllers),
+      cmocka_unit_test_setup_teardown(
+          a_message_that_raises_the_token_to_the_last_one_starts_nothing_directly,
+          setup_recorded_worker, teardown_controllers),
       cmocka_unit_test_setup_teardown(a_new_term_begins_with_its_first_token, setup_recorded_worker,
                                       teardown_controllers),
       cmocka_unit_test_setup_teardown(an_unanswered_start_is_voided_by_the_last_token,
