Workers: "deferred heartbeat" in place of "parked request"

The former wording named a request that waits for a takeover; the field's term is deferred. Names and comments only.

--- a/src/worker/lease_renewal.c
+++ b/src/worker/lease_renewal.c
@@ -127,38 +127,39 @@
          suspicion.consecutive_probes_lost >= TMX_PROBES_LOST_MIN;
 }
 
-static void park_request(struct tmx_worker *worker, struct tmx_http_request *request, double now) {
-  worker->redirection.parked_request = request;
-  worker->redirection.parked_at = now;
-  worker->workers->n_parked_requests++;
+static void defer_heartbeat(struct tmx_worker *worker, struct tmx_http_request *request,
+                            double now) {
+  worker->redirection.deferred_heartbeat = request;
+  worker->redirection.deferred_at = now;
+  worker->workers->n_deferred_heartbeats++;
 }
 
-/* Returns the parked heartbeat, to which the caller must respond; NULL if there is none. */
-static struct tmx_http_request *unpark_request(struct tmx_worker *worker) {
-  struct tmx_http_request *request = worker->redirection.parked_request;
-  if (request) worker->workers->n_parked_requests--;
-  worker->redirection.parked_request = NULL;
+/* Returns the deferred heartbeat, to which the caller must respond; NULL if there is none. */
+static struct tmx_http_request *take_deferred_heartbeat(struct tmx_worker *worker) {
+  struct tmx_http_request *request = worker->redirection.deferred_heartbeat;
+  if (request) worker->workers->n_deferred_heartbeats--;
+  worker->redirection.deferred_heartbeat = NULL;
   return request;
 }
 
-void tmx_worker_redirect_parked_request(struct tmx_worker *worker) {
-  struct tmx_http_request *request = unpark_request(worker);
+void tmx_worker_redirect_deferred_heartbeat(struct tmx_worker *worker) {
+  struct tmx_http_request *request = take_deferred_heartbeat(worker);
   if (request) reply_redirect(request, NULL);
 }
 
-void tmx_workers_answer_parked_requests(struct tmx_workers *workers) {
-  if (!workers->n_parked_requests) return;
+void tmx_workers_answer_deferred_heartbeats(struct tmx_workers *workers) {
+  if (!workers->n_deferred_heartbeats) return;
   const char *machines[TMX_FAILOVER_MACHINES_MAX];
   size_t n_machines = 0;
   struct tmx_worker *worker, *next;
   HASH_ITER(hh, workers->all, worker, next) {
     const struct tmx_worker_redirection *redirection = &worker->redirection;
-    if (!redirection->parked_request) continue;
-    if (!redirection->parked_request->conn ||
-        tmx_clock_steady() - redirection->parked_at > TMX_FAILOVER_REPORT_WAIT_S)
-      tmx_worker_redirect_parked_request(worker);
+    if (!redirection->deferred_heartbeat) continue;
+    if (!redirection->deferred_heartbeat->conn ||
+        tmx_clock_steady() - redirection->deferred_at > TMX_FAILOVER_REPORT_WAIT_S)
+      tmx_worker_redirect_deferred_heartbeat(worker);
     else if (tmx_authority_may_act(workers->authority) && tmx_worker_update_ownership(worker))
-      reply_as_owner(worker, unpark_request(worker), false);
+      reply_as_owner(worker, take_deferred_heartbeat(worker), false);
     else if (n_machines < TMX_FAILOVER_MACHINES_MAX)
       machines[n_machines++] = worker->id;
   }
@@ -186,9 +187,9 @@
     renew_lease_for_owner(worker, request);
     return;
   }
-  if (!redirection->parked_request && tmx_store_is_member(worker->workers->store) &&
+  if (!redirection->deferred_heartbeat && tmx_store_is_member(worker->workers->store) &&
       is_cut_off_from_owner(worker, owner, now)) {
-    park_request(worker, request, now);
+    defer_heartbeat(worker, request, now);
     return;
   }
   redirection->redirected_at = now;
--- a/src/worker/worker_table.c
+++ b/src/worker/worker_table.c
@@ -22,8 +22,8 @@
 }
 
 static bool is_evictable(const struct tmx_worker *worker) {
-  return !worker->machine && !worker->redirection.parked_request && !worker->commands.in_flight &&
-         !worker->probing.in_flight;
+  return !worker->machine && !worker->redirection.deferred_heartbeat &&
+         !worker->commands.in_flight && !worker->probing.in_flight;
 }
 
 static double last_heartbeat_or_suspicion(const struct tmx_worker *worker) {
@@ -78,7 +78,7 @@
   if (budget->next == worker) budget->next = worker->hh.next;
   if (budget->next_suspect == worker) budget->next_suspect = worker->hh.next;
   HASH_DEL(workers->all, worker);
-  tmx_worker_redirect_parked_request(worker);
+  tmx_worker_redirect_deferred_heartbeat(worker);
   tmx_worker_disconnect(worker);
   if (worker->commands.is_queued) queue_clear_entry(&workers->command_queue, worker);
   if (worker->reconciliation.is_queued) queue_clear_entry(&workers->completion_queue, worker);
--- a/src/worker/worker_table.h
+++ b/src/worker/worker_table.h
@@ -11,7 +11,7 @@
 /** Returns the worker of the machine with this id, with a new record if there was none; NULL if the
  * table is full. The table owns the record. */
 struct tmx_worker *tmx_worker_find_or_create(struct tmx_workers *workers, const char *id);
-/** Removes the worker from the table and from all queues, and frees it. Its parked heartbeat is
+/** Removes the worker from the table and from all queues, and frees it. Its deferred heartbeat is
  * redirected. */
 void tmx_worker_free(struct tmx_worker *worker);
 
--- a/src/worker/workers.c
+++ b/src/worker/workers.c
@@ -36,7 +36,7 @@
 
 void tmx_workers_flush(struct tmx_workers *workers) {
   tmx_workers_send_due_commands(workers);
-  tmx_workers_answer_parked_requests(workers);
+  tmx_workers_answer_deferred_heartbeats(workers);
 }
 
 void tmx_workers_machine_changed(struct tmx_workers *workers, struct tmx_machine *machine) {
--- a/src/worker/workers.h
+++ b/src/worker/workers.h
@@ -42,14 +42,14 @@
 
 /** Creates the module; the caller owns it and frees it with tmx_workers_free(). */
 struct tmx_workers *tmx_workers_new(const struct tmx_workers_dependencies *dependencies);
-/** Redirects the parked heartbeats, closes the connections to workers, and frees the module. */
+/** Redirects the deferred heartbeats, closes the connections to workers, and frees the module. */
 void tmx_workers_free(struct tmx_workers *workers);
 
 /** Responds to a worker's heartbeat. The response is sent immediately, unless the worker cannot
- * reach the owner of its machine: then the heartbeat is parked for up to about
+ * reach the owner of its machine: then the heartbeat is deferred for up to about
  * TMX_FAILOVER_REPORT_WAIT_S while this controller takes the machine over. */
 void tmx_workers_handle_heartbeat(struct tmx_workers *workers, struct tmx_http_request *request);
-/** Sends the commands that the latest events made due, and responds to parked heartbeats. Must be
+/** Sends the commands that the latest events made due, and responds to deferred heartbeats. Must be
  * called after each iteration of the event loop, once all its events have been applied, and not
  * from their callbacks. */
 void tmx_workers_flush(struct tmx_workers *workers);
--- a/src/worker/workers_internal.h
+++ b/src/worker/workers_internal.h
@@ -99,9 +99,9 @@
   double redirected_at; /**< steady clock, s: last redirect to the owner; 0: none since this
                            controller last responded as the owner */
   struct tmx_http_request
-      *parked_request; /**< a heartbeat that waits until this controller is
+      *deferred_heartbeat; /**< a heartbeat that waits until this controller is
                             the owner, up to TMX_FAILOVER_REPORT_WAIT_S; NULL: none */
-  double parked_at;    /**< steady clock, s: when it was parked */
+  double deferred_at;      /**< steady clock, s: when it was deferred */
 };
 
 /** The connection to the worker. Written by worker_connection.c. */
@@ -187,7 +187,7 @@
   double unregistered_seen_at; /**< steady clock, s: latest report of an unregistered machine; 0:
                                   never */
   double last_heartbeat_at;    /**< steady clock, s: latest new heartbeat of any worker; 0: never */
-  int n_parked_requests;       /**< number of parked heartbeats */
+  int n_deferred_heartbeats;   /**< number of deferred heartbeats */
   int n_connections;           /**< number of open connections to workers */
   uint32_t report_counter;     /**< `number` of the latest report of any worker */
   double health_checked_at;    /**< steady clock, s: latest health check of the machines */
