Faulty machines: log lines for the change of state, and their number in the usage line

Change: a line when a machine becomes faulty and when it no longer is, their number in the usage line, and a debug line with the free capacity that scale-out counts. One predicate, tmx_machine_is_faulty, in place of two copies. What the program does is the same.

--- a/src/cloud/cloud_internal.h
+++ b/src/cloud/cloud_internal.h
@@ -76,12 +76,6 @@
 /** Deletes failed machines, and drains and deletes machines that are not needed. */
 void tmx_cloud_reclaim(struct tmx_cloud *cloud, double now);
 
-/** Returns whether consecutive tasks of several jobs failed on the machine. */
-static inline bool tmx_cloud_machine_is_faulty(const struct tmx_machine *machine) {
-  return machine->consecutive_errors >= TMX_FAULTY_MACHINE_ERRORS &&
-         machine->errors_of_several_jobs;
-}
-
 /** Returns the idle timer of the machine. Starts one at `now` if there is none. */
 struct tmx_idle_timer *tmx_cloud_idle_timer(struct tmx_cloud *cloud, const char *id, double now);
 /** Removes the idle timers of machines that are no longer in the replica. */
--- a/src/cloud/scale_out.c
+++ b/src/cloud/scale_out.c
@@ -1,6 +1,7 @@
 /* Scale-out: plans which machines to rent for pending tasks, given the free capacity. */
 #include <stdlib.h>
 
+#include "base/log.h"
 #include "base/memory.h"
 #include "cloud/cloud_internal.h"
 #include "cloud/scale_out_demand.h"
@@ -99,6 +100,19 @@
     }
 }
 
+static void log_plan(const struct tmx_demand_list *demand, const struct capacity *capacity,
+                     size_t n_scale_outs) {
+  if (!tmx_log_enabled(TMX_LOG_DEBUG)) return;
+  uint32_t tasks = 0;
+  double free_cpus = 0;
+  for (size_t i = 0; i < demand->count; i++) tasks += demand->demands[i].tasks;
+  for (size_t i = 0; i < capacity->count; i++) free_cpus += capacity->entries[i].cpus;
+  tmx_log(
+      TMX_LOG_DEBUG,
+      "cloud: scale-out for %u pending tasks: %.0f free CPUs on %zu machines, %zu offers chosen",
+      tasks, free_cpus, capacity->count, n_scale_outs);
+}
+
 static void plan_and_rent(struct tmx_cloud *cloud, const struct tmx_demand_list *demand,
                           double now) {
   struct offer_list list;
@@ -113,6 +127,7 @@
                                       .n_provisioned = capacity.count,
                                       .provisioned_cpus = capacity.cpus};
   size_t count = tmx_plan_scale_out(&input, scale_outs, SCALE_OUTS_MAX);
+  log_plan(demand, &capacity, count);
   sort_largest_first(scale_outs, count, list.offers);
   for (size_t i = 0; i < count; i++) {
     const struct tmx_offer *offer = &list.offers[scale_outs[i].offer];
--- a/src/cloud/usage_log.c
+++ b/src/cloud/usage_log.c
@@ -8,13 +8,14 @@
   cloud->usage_logged_at = now;
   double cpus[2] = {0, 0}, booked[2] = {0, 0}; /* on demand, spot */
   double draining = 0, services = 0;
-  size_t machines = 0, unusable = 0;
+  size_t machines = 0, unusable = 0, faulty = 0;
   struct tmx_machine *machine, *next_machine;
   HASH_ITER(hh, cloud->replica->machines, machine, next_machine) {
     const struct tmx_machine_type *type = tmx_machine_catalog_find(cloud->catalog, machine->type);
     if (!machine->registered || !type) continue;
     machines++;
     unusable += !machine->usable;
+    faulty += tmx_machine_is_faulty(machine);
     cpus[machine->spot] += type->cpus;
     booked[machine->spot] += machine->booked_cpus;
     if (machine->draining) draining += type->cpus;
@@ -22,8 +23,8 @@
   }
   tmx_log(
       TMX_LOG_INFO,
-      "usage: %zu machines (%zu unusable), CPUs booked on demand %.0f of %.0f, spot %.0f of %.0f, "
-      "services %.0f, draining %.0f, pending %.0f",
-      machines, unusable, booked[0], cpus[0], booked[1], cpus[1], services, draining,
+      "usage: %zu machines (%zu unusable, %zu faulty), CPUs booked on demand %.0f of %.0f, spot "
+      "%.0f of %.0f, services %.0f, draining %.0f, pending %.0f",
+      machines, unusable, faulty, booked[0], cpus[0], booked[1], cpus[1], services, draining,
       cloud->replica->waiting_cpus);
 }
--- a/src/replica/apply_operation.c
+++ b/src/replica/apply_operation.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <utlist.h>
 
+#include "base/log.h"
 #include "replica/job_table.h"
 #include "replica/machine_table.h"
 #include "replica/replica_internal.h"
@@ -120,6 +121,9 @@
   tmx_run_estimate_observe(replica, &job->spec, ran_s);
   if (job->outcome != TMX_JOB_DONE) job->n_done++;
   job->consecutive_failures = 0;
+  if (replica->loaded && tmx_machine_is_faulty(machine))
+    tmx_log(TMX_LOG_INFO, "machine: %s is no longer faulty, a task of %s was completed on it",
+            machine->id, job->id);
   machine->consecutive_errors = 0;
   machine->errors_of_several_jobs = false;
 }
@@ -138,10 +142,14 @@
   char *failed_machine =
       job->failed_machines[job->next_failed_machine++ % TMX_FAILED_MACHINES_KEPT];
   snprintf(failed_machine, TMX_ID_BYTES, "%s", machine->id);
+  const bool was_faulty = tmx_machine_is_faulty(machine);
   if (machine->consecutive_errors && strcmp(machine->error_job, job->id))
     machine->errors_of_several_jobs = true;
   snprintf(machine->error_job, sizeof machine->error_job, "%s", job->id);
   machine->consecutive_errors++;
+  if (replica->loaded && !was_faulty && tmx_machine_is_faulty(machine))
+    tmx_log(TMX_LOG_INFO, "machine: %s is faulty, %u consecutive errors, the latest one of %s",
+            machine->id, machine->consecutive_errors, job->id);
 }
 
 static void apply_end(struct tmx_replica *replica, struct tmx_task *task,
--- a/src/replica/machine.h
+++ b/src/replica/machine.h
@@ -65,4 +65,10 @@
   /** @} */
   UT_hash_handle hh; /**< entry in tmx_replica::machines, keyed by id */
 };
+
+/** Returns whether consecutive tasks of several jobs failed on the machine. */
+static inline bool tmx_machine_is_faulty(const struct tmx_machine *machine) {
+  return machine->consecutive_errors >= TMX_FAULTY_MACHINE_ERRORS &&
+         machine->errors_of_several_jobs;
+}
 #endif
--- a/src/scheduler/planner_records.c
+++ b/src/scheduler/planner_records.c
@@ -7,12 +7,6 @@
 #include "base/memory.h"
 #include "scheduler/service_level_objectives.h"
 
-static bool is_usable(const struct tmx_machine *machine) {
-  bool faulty =
-      machine->consecutive_errors >= TMX_FAULTY_MACHINE_ERRORS && machine->errors_of_several_jobs;
-  return machine->usable && !faulty;
-}
-
 static void copy_type(struct tmx_plan_machine *record, struct tmx_machine *machine,
                       const struct tmx_machine_type *type) {
   machine->capacity_cpus = record->cpus = type->cpus;
@@ -51,7 +45,7 @@
   record->spot = machine->spot;
   record->draining = machine->draining;
   record->owner = machine->owner;
-  record->usable = type && is_usable(machine);
+  record->usable = type && machine->usable && !tmx_machine_is_faulty(machine);
   if (type) copy_type(record, machine, type);
   record->booked_cpus = machine->booked_cpus;
   record->booked_gpus = machine->booked_gpus;
