Faulty machines: errors of a job that fails everywhere count against no machine

Cause: four errors in a row, of two jobs, made a machine faulty, whoever was to blame. Two jobs that fail on every machine made every machine faulty.

Change: src/replica/machine_faults.c keeps the errors of each machine by job and the machines on which each job failed, and decides anew whenever either changes, so that what is learned of a job applies to its earlier errors too. A job with a completed task, or with a task that outlasted its failed ones by 20 s, has no mistake: its errors count. Any other job is to blame if it failed on four machines, or on more machines than jobs failed on this one. All follows from the log; nothing new is stored or sent.

Evidence: later_jobs_start_after_two_mistakes fails on the code before (all 3 machines faulty, both jobs pending after 90 s) and passes now.

--- a/include/tmx/constants/workers.h
+++ b/include/tmx/constants/workers.h
@@ -103,8 +103,15 @@
  * deletes or drains machines.
  */
 #define TMX_LEADER_SETTLE_S 3.0
-/** Consecutive errors, of two jobs or more, that make a machine faulty. */
+/** Errors without a success in between that make a machine faulty. */
 #define TMX_FAULTY_MACHINE_ERRORS 4
+/** Jobs, at least, whose errors make a machine faulty. */
+#define TMX_FAULTY_MACHINE_JOBS 2
+/**
+ * Seconds; a task that is on its machine for this much longer than those of its job that failed has
+ * survived. The time covers the fetch of an image.
+ */
+#define TMX_TASK_SURVIVAL_S 20.0
 /**
  * Seconds of the first backoff of a job whose tasks fail. It doubles with each consecutive failure.
  */
--- a/src/cloud/usage_log.c
+++ b/src/cloud/usage_log.c
@@ -15,7 +15,7 @@
     if (!machine->registered || !type) continue;
     machines++;
     unusable += !machine->usable;
-    faulty += tmx_machine_is_faulty(machine);
+    faulty += machine->faulty;
     cpus[machine->spot] += type->cpus;
     booked[machine->spot] += machine->booked_cpus;
     if (machine->draining) draining += type->cpus;
--- a/src/replica/apply_operation.c
+++ b/src/replica/apply_operation.c
@@ -1,11 +1,10 @@
 #include "replica/apply_operation.h"
 
-#include <stdio.h>
 #include <string.h>
 #include <utlist.h>
 
-#include "base/log.h"
 #include "replica/job_table.h"
+#include "replica/machine_faults.h"
 #include "replica/machine_table.h"
 #include "replica/replica_internal.h"
 
@@ -120,12 +119,8 @@
   if (ran_s > job->longest_run_s) job->longest_run_s = ran_s;
   tmx_run_estimate_observe(replica, &job->spec, ran_s);
   if (job->outcome != TMX_JOB_DONE) job->n_done++;
-  job->consecutive_failures = 0;
-  if (replica->loaded && tmx_machine_is_faulty(machine))
-    tmx_log(TMX_LOG_INFO, "machine: %s is no longer faulty, a task of %s was completed on it",
-            machine->id, job->id);
-  machine->consecutive_errors = 0;
-  machine->errors_of_several_jobs = false;
+  job->failures.consecutive = 0;
+  tmx_machine_faults_record_success(replica, machine);
 }
 
 /* Exponential backoff: doubles with each consecutive failure, up to TMX_JOB_BACKOFF_MAX_S. */
@@ -136,20 +131,10 @@
   return backoff_s < TMX_JOB_BACKOFF_MAX_S ? backoff_s : TMX_JOB_BACKOFF_MAX_S;
 }
 
-static void record_error(const struct tmx_replica *replica, struct tmx_job *job,
-                         struct tmx_machine *machine) {
-  job->retry_at = replica->now + retry_backoff_s(job->consecutive_failures++);
-  char *failed_machine =
-      job->failed_machines[job->next_failed_machine++ % TMX_FAILED_MACHINES_KEPT];
-  snprintf(failed_machine, TMX_ID_BYTES, "%s", machine->id);
-  const bool was_faulty = tmx_machine_is_faulty(machine);
-  if (machine->consecutive_errors && strcmp(machine->error_job, job->id))
-    machine->errors_of_several_jobs = true;
-  snprintf(machine->error_job, sizeof machine->error_job, "%s", job->id);
-  machine->consecutive_errors++;
-  if (replica->loaded && !was_faulty && tmx_machine_is_faulty(machine))
-    tmx_log(TMX_LOG_INFO, "machine: %s is faulty, %u consecutive errors, the latest one of %s",
-            machine->id, machine->consecutive_errors, job->id);
+static void record_error(struct tmx_replica *replica, struct tmx_job *job,
+                         struct tmx_machine *machine, double placed_s) {
+  job->retry_at = replica->now + retry_backoff_s(job->failures.consecutive++);
+  tmx_machine_faults_record_error(replica, machine, job, placed_s);
 }
 
 static void apply_end(struct tmx_replica *replica, struct tmx_task *task,
@@ -161,7 +146,7 @@
   if (operation->reason == TMX_END_DONE)
     record_success(replica, task, machine, ran_s);
   else if (operation->reason == TMX_END_ERROR)
-    record_error(replica, job, machine);
+    record_error(replica, job, machine, replica->now - task->placed_at);
   tmx_replica_job_updated(replica, job);
   tmx_replica_release_tasks(replica, job);
   tmx_replica_notify_schedulable(replica);
--- a/src/replica/job.h
+++ b/src/replica/job.h
@@ -65,6 +65,17 @@
   /** @} */
 };
 
+/** Attempts of a job's tasks that ended with an error. */
+struct tmx_job_failures {
+  char machines[TMX_FAILED_MACHINES_KEPT][TMX_ID_BYTES]; /**< where they ended, each machine once */
+  uint32_t n_machines;  /**< number of entries ever written to `machines`; modulo the array size:
+                           the next one to replace */
+  uint32_t consecutive; /**< number of them since the last success */
+  double longest_s;     /**< longest time from a placement to its error, seconds */
+  double survivor_searched_at; /**< when `has_survivor` was decided, monotonic clock, seconds */
+  bool has_survivor; /**< a task has outlasted the failed attempts, see machine_faults.c */
+};
+
 /** A submitted job. */
 struct tmx_job {
   char id[TMX_ID_BYTES];    /**< the job's id, chosen by its owner */
@@ -97,8 +108,7 @@
   double answered_at;   /**< when this controller last sent its state to a user, monotonic clock,
                            seconds */
   double longest_run_s; /**< longest observed run of a completed task, seconds */
-  uint32_t consecutive_failures; /**< attempts that ended with an error since the last success */
-  double retry_at; /**< when the backoff after failures ends, monotonic clock, seconds */
+  double retry_at;      /**< when the backoff after failures ends, monotonic clock, seconds */
   uint32_t n_completions_in_batch; /**< tasks that the batch being built completes */
   int planner_slot;                /**< its index in the planner's table of jobs */
   bool planner_update_due;         /**< the next planner delta must include the job */
@@ -109,9 +119,8 @@
   uint32_t check_placed_in_zone[TMX_ZONES_MAX]; /**< number of placed tasks, by zone, including
                                                    operations checked so far */
   /** @} */
-  char failed_machines[TMX_FAILED_MACHINES_KEPT][TMX_ID_BYTES]; /**< machines of recent failures */
-  unsigned next_failed_machine; /**< counter; modulo the array size: the next entry to replace */
-  UT_hash_handle hh;            /**< entry in tmx_replica::jobs, keyed by id */
+  struct tmx_job_failures failures; /**< attempts that ended with an error */
+  UT_hash_handle hh;                /**< entry in tmx_replica::jobs, keyed by id */
 };
 
 /** The task's index within its job. */
--- a/src/replica/machine.h
+++ b/src/replica/machine.h
@@ -14,12 +14,22 @@
 
 #include "tmx/constants.h"
 
+struct tmx_job;
 struct tmx_task;
 struct tmx_worker;
 
 /** Maximum number of images that a machine's cache is assumed to hold. */
 #define TMX_IMAGES_KEPT 12
 
+/** Maximum number of jobs whose errors are remembered per machine. */
+#define TMX_FAILED_JOBS_KEPT 8
+
+/** Errors of one job's tasks on a machine. */
+struct tmx_job_errors {
+  struct tmx_job *job; /**< the job; it lives as long as the replica's content */
+  uint32_t count;      /**< attempts that ended with an error */
+};
+
 /** An image in a machine's cache. */
 struct tmx_image {
   int id;                  /**< numeric id of its name, see tmx_job_spec::image_id */
@@ -44,9 +54,10 @@
       booked_gpus,           /**< GPUs of all tasks placed on it */
       booked_mem_gb;         /**< memory of all tasks placed on it, GB */
   double service_cpus;       /**< part of `booked_cpus` that belongs to services */
-  uint32_t consecutive_errors;  /**< attempts that ended with an error since the last success */
-  char error_job[TMX_ID_BYTES]; /**< id of the job of the latest failed attempt */
-  bool errors_of_several_jobs;  /**< the errors since the last success are of more than one job */
+  /** Errors since its last success, by job; the job whose first error is the oldest comes first. */
+  struct tmx_job_errors errors[TMX_FAILED_JOBS_KEPT];
+  size_t n_errors; /**< entries of `errors` in use */
+  bool faulty;     /**< its errors show that it is faulty, see machine_faults.h */
   struct tmx_image images[TMX_IMAGES_KEPT]; /**< most recently placed first, according to the log */
   size_t n_images;                          /**< entries of `images` in use */
   double capacity_cpus, /**< CPUs of its machine type, set by the scheduler; 0: unknown */
@@ -65,10 +76,4 @@
   /** @} */
   UT_hash_handle hh; /**< entry in tmx_replica::machines, keyed by id */
 };
-
-/** Returns whether consecutive tasks of several jobs failed on the machine. */
-static inline bool tmx_machine_is_faulty(const struct tmx_machine *machine) {
-  return machine->consecutive_errors >= TMX_FAULTY_MACHINE_ERRORS &&
-         machine->errors_of_several_jobs;
-}
 #endif
--- /dev/null
+++ b/src/replica/machine_faults.c
@@ -0,0 +1,119 @@
+#include "replica/machine_faults.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "replica/replica_internal.h"
+
+/* s; a job's tasks are searched for one that has outlasted its failed attempts at most this often.
+ */
+static const double SURVIVOR_SEARCH_PERIOD_S = 1;
+
+static bool has_failed_on(const struct tmx_job *job, const char *machine_id) {
+  for (size_t i = 0; i < TMX_FAILED_MACHINES_KEPT; i++)
+    if (!strcmp(job->failures.machines[i], machine_id)) return true;
+  return false;
+}
+
+static void record_failed_machine(struct tmx_job *job, const char *machine_id) {
+  struct tmx_job_failures *failures = &job->failures;
+  if (has_failed_on(job, machine_id)) return;
+  char *oldest = failures->machines[failures->n_machines++ % TMX_FAILED_MACHINES_KEPT];
+  snprintf(oldest, TMX_ID_BYTES, "%s", machine_id);
+}
+
+/* Returns the machine's record of the job's errors. If there is none, replaces the oldest record.
+ */
+static struct tmx_job_errors *find_or_add_record(struct tmx_machine *machine, struct tmx_job *job) {
+  struct tmx_job_errors *records = machine->errors;
+  for (size_t i = 0; i < machine->n_errors; i++)
+    if (records[i].job == job) return &records[i];
+  if (machine->n_errors == TMX_FAILED_JOBS_KEPT)
+    memmove(&records[0], &records[1], --machine->n_errors * sizeof records[0]);
+  records[machine->n_errors] = (struct tmx_job_errors){.job = job};
+  return &records[machine->n_errors++];
+}
+
+/* Returns whether a task of the job has been on its machine for so long that it would have failed
+ * by now if the job had a mistake. */
+static bool find_survivor(const struct tmx_job *job, double now) {
+  const double survival_s = job->failures.longest_s + TMX_TASK_SURVIVAL_S;
+  for (uint32_t i = 0; i < job->spec.tasks; i++) {
+    const struct tmx_task *task = &job->tasks[i];
+    if (task->state == TMX_TASK_PLACED && !task->stop_mode && now - task->placed_at >= survival_s)
+      return true;
+  }
+  return false;
+}
+
+/* A job with a mistake fails on every machine. Returns whether this job is known to have none. What
+ * was known last holds for a job that has ended. */
+static bool is_sound(struct tmx_job *job, double now) {
+  struct tmx_job_failures *failures = &job->failures;
+  if (job->n_done) return true;
+  if (job->outcome || !job->n_placed) return failures->has_survivor;
+  if (now - failures->survivor_searched_at < SURVIVOR_SEARCH_PERIOD_S)
+    return failures->has_survivor;
+  failures->survivor_searched_at = now;
+  failures->has_survivor = find_survivor(job, now);
+  return failures->has_survivor;
+}
+
+/* Returns whether the job failed on so many machines, and nowhere else succeeded, that its errors
+ * say nothing about any of them. */
+static bool fails_everywhere(struct tmx_job *job, double now) {
+  return job->failures.n_machines >= TMX_FAILED_MACHINES_KEPT && !is_sound(job, now);
+}
+
+/* Returns whether the job's errors on a machine are evidence against the machine. Unless the job is
+ * known to be sound, it is to blame if it failed on more machines than jobs failed on this machine:
+ * a mistake in the job then explains more errors than a fault of the machine. */
+static bool counts_against_machine(struct tmx_job *job, uint32_t failed_jobs, double now) {
+  if (is_sound(job, now)) return true;
+  return !fails_everywhere(job, now) && job->failures.n_machines <= failed_jobs;
+}
+
+static bool is_faulty(const struct tmx_machine *machine, double now) {
+  uint32_t failed_jobs = 0, errors = 0, jobs = 0;
+  for (size_t i = 0; i < machine->n_errors; i++)
+    failed_jobs += !fails_everywhere(machine->errors[i].job, now);
+  for (size_t i = 0; i < machine->n_errors; i++) {
+    const struct tmx_job_errors *record = &machine->errors[i];
+    if (!counts_against_machine(record->job, failed_jobs, now)) continue;
+    errors += record->count;
+    jobs++;
+  }
+  return errors >= TMX_FAULTY_MACHINE_ERRORS && jobs >= TMX_FAULTY_MACHINE_JOBS;
+}
+
+static void log_change(const struct tmx_machine *machine) {
+  if (!tmx_log_enabled(TMX_LOG_INFO)) return;
+  uint32_t errors = 0;
+  for (size_t i = 0; i < machine->n_errors; i++) errors += machine->errors[i].count;
+  tmx_log(TMX_LOG_INFO, "machine: %s is %s, %u errors of %zu jobs since its last success",
+          machine->id, machine->faulty ? "faulty" : "no longer faulty", errors, machine->n_errors);
+}
+
+void tmx_machine_faults_update(struct tmx_replica *replica, struct tmx_machine *machine,
+                               double now) {
+  const bool faulty = is_faulty(machine, now);
+  if (faulty == machine->faulty) return;
+  machine->faulty = faulty;
+  if (replica->loaded) log_change(machine);
+  tmx_replica_notify_machine(replica, machine);
+  if (!faulty) tmx_replica_notify_schedulable(replica);
+}
+
+void tmx_machine_faults_record_error(struct tmx_replica *replica, struct tmx_machine *machine,
+                                     struct tmx_job *job, double placed_s) {
+  if (placed_s > job->failures.longest_s) job->failures.longest_s = placed_s;
+  record_failed_machine(job, machine->id);
+  find_or_add_record(machine, job)->count++;
+  tmx_machine_faults_update(replica, machine, replica->now);
+}
+
+void tmx_machine_faults_record_success(struct tmx_replica *replica, struct tmx_machine *machine) {
+  machine->n_errors = 0;
+  tmx_machine_faults_update(replica, machine, replica->now);
+}
--- a/src/scheduler/planner_records.c
+++ b/src/scheduler/planner_records.c
@@ -45,7 +45,7 @@
   record->spot = machine->spot;
   record->draining = machine->draining;
   record->owner = machine->owner;
-  record->usable = type && machine->usable && !tmx_machine_is_faulty(machine);
+  record->usable = type && machine->usable && !machine->faulty;
   if (type) copy_type(record, machine, type);
   record->booked_cpus = machine->booked_cpus;
   record->booked_gpus = machine->booked_gpus;
@@ -96,7 +96,7 @@
   record->n_done = job->n_done;
   record->n_placed = job->n_placed;
   memcpy(record->placed_in_zone, job->placed_in_zone, sizeof record->placed_in_zone);
-  memcpy(record->failed_machines, job->failed_machines, sizeof record->failed_machines);
+  memcpy(record->failed_machines, job->failures.machines, sizeof record->failed_machines);
 }
 
 /* Adds the first waiting tasks, at most as many as a round can place. */
--- a/src/worker/machine_health.c
+++ b/src/worker/machine_health.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "replica/machine_faults.h"
 #include "worker/fencing.h"
 #include "worker/probes.h"
 #include "worker/traffic.h"
@@ -126,7 +127,9 @@
   memset(workers->zone_liveness, 0, sizeof workers->zone_liveness);
   struct tmx_machine *machine, *next;
   HASH_ITER(hh, workers->replica->machines, machine, next) {
-    if (machine->registered) check_machine(workers, machine, &check);
+    if (!machine->registered) continue;
+    check_machine(workers, machine, &check);
+    tmx_machine_faults_update(workers->replica, machine, now);
   }
   extrapolate_zone_liveness(workers, check.probe_rate);
   if (check.is_member)
--- /dev/null
+++ b/tests/test_faulty_machines.c
@@ -0,0 +1,131 @@
+/* Jobs that fail on every machine, and machines on which every job fails. */
+#include "controller_fixture.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "tmx/wire.h"
+
+enum {
+  MACHINES = 3,
+  MISTAKES = 2,       /* jobs that were submitted with a mistake */
+  ERRORS_EACH = 4,    /* errors of each of these jobs on each machine */
+  MISTAKEN_TASKS = 24 /* tasks of each of these jobs, as many as the machines have room for */
+};
+/* s; longest time for which a job may wait while a machine has room for it */
+static const unsigned WAIT_MAX_S = 90;
+
+static struct fake_worker *const machines[MACHINES] = {&worker, &other_workers[0],
+                                                       &other_workers[1]};
+static const char *const mistaken_jobs[MISTAKES] = {"wk-000300", "wk-000301"};
+static unsigned errors[MACHINES][MISTAKES];
+
+static bool belongs_to(const struct fake_reported_task *task, const char *job) {
+  size_t length = strlen(job);
+  return !strncmp(task->task, job, length) && task->task[length] == '/';
+}
+
+static void fail_mistaken_tasks(struct fake_worker *machine,
+                                const struct fake_command_request *request) {
+  (void)request;
+  for (size_t i = 0; i < machine->n_tasks; i++)
+    for (size_t j = 0; j < MISTAKES; j++) {
+      struct fake_reported_task *task = &machine->tasks[i];
+      if (!belongs_to(task, mistaken_jobs[j]) || strcmp(task->state, WV_RUNNING)) continue;
+      snprintf(task->state, sizeof task->state, WV_EXITED);
+      snprintf(task->reason, sizeof task->reason, WV_ERROR);
+      for (size_t k = 0; k < MACHINES; k++) errors[k][j] += machines[k] == machine;
+    }
+}
+
+static void send_heartbeat(struct fake_worker *machine) {
+  fake_worker_send_heartbeat(machine, first_controller);
+  if (second_controller && machine->report_status != 200)
+    fake_worker_send_heartbeat(machine, second_controller);
+  fake_worker_execute_commands(machine);
+  if (machine->on_command) machine->on_command(machine, NULL);
+}
+
+/* Runs the cluster, with a heartbeat of each machine every second, until the condition holds.
+ * Returns whether it did within `seconds`. */
+static bool run_cluster_until(bool (*condition)(void), unsigned seconds) {
+  for (unsigned passed = 0; passed < seconds; passed++) {
+    for (size_t i = 0; i < MACHINES; i++) send_heartbeat(machines[i]);
+    if (condition()) return true;
+    run_loop_for(1);
+  }
+  return condition();
+}
+
+static bool never(void) { return false; }
+
+static unsigned running_tasks(const struct fake_worker *machine, const char *job) {
+  unsigned count = 0;
+  for (size_t i = 0; i < machine->n_tasks; i++)
+    count += belongs_to(&machine->tasks[i], job) && !strcmp(machine->tasks[i].state, WV_RUNNING);
+  return count;
+}
+
+static unsigned running_tasks_anywhere(const char *job) {
+  unsigned count = 0;
+  for (size_t i = 0; i < MACHINES; i++) count += running_tasks(machines[i], job);
+  return count;
+}
+
+static bool each_machine_has_a_replica(void) {
+  for (size_t i = 0; i < MACHINES; i++)
+    if (!running_tasks(machines[i], "wk-000100")) return false;
+  return true;
+}
+
+static bool both_jobs_failed_on_each_machine(void) {
+  for (size_t i = 0; i < MACHINES; i++)
+    for (size_t j = 0; j < MISTAKES; j++)
+      if (errors[i][j] < ERRORS_EACH) return false;
+  return true;
+}
+
+static bool later_jobs_run(void) {
+  return running_tasks_anywhere("wk-000200") == 6 && running_tasks_anywhere("wk-000201") == 2;
+}
+
+static void lift_team_limit(struct tmx_settings *settings) { settings->teams[0].cpus_max = 0; }
+
+static int setup_three_machines(void **state) {
+  memset(errors, 0, sizeof errors);
+  fake_adjust_settings = lift_team_limit;
+  setup_two_settled_controllers(state);
+  for (size_t i = 0; i < MACHINES; i++) {
+    register_worker(machines[i]);
+    machines[i]->on_command = fail_mistaken_tasks;
+  }
+  run_cluster_until(never, 2); /* until all machines are known to be healthy */
+  return 0;
+}
+
+/* Guards against jobs that wait although machines have room (review/3). Two arrays with a mistake fail on all
+ * machines, each of which holds a replica of a service. When the arrays have been cancelled, later
+ * jobs must start. */
+static void later_jobs_start_after_two_mistakes(void **state) {
+  (void)state;
+  submit_simple_job(first_controller, "wk-000100", "service", MACHINES, 2, "t");
+  assert_true(run_cluster_until(each_machine_has_a_replica, 20));
+  for (size_t j = 0; j < MISTAKES; j++)
+    submit_simple_job(first_controller, mistaken_jobs[j], "batch", MISTAKEN_TASKS, 2, "t");
+  assert_true(run_cluster_until(both_jobs_failed_on_each_machine, 60));
+  for (size_t j = 0; j < MISTAKES; j++)
+    assert_int_equal(cancel_job(first_controller, mistaken_jobs[j]).status, 200);
+  run_cluster_until(never, 2);
+  submit_simple_job(first_controller, "wk-000200", "batch", 6, 2, "t");
+  submit_simple_job(first_controller, "wk-000201", "service", 2, 2, "t");
+  assert_true(run_cluster_until(later_jobs_run, WAIT_MAX_S));
+  assert_int_equal(fake_cloud.deletions, 0);
+}
+
+int main(void) {
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test_setup_teardown(later_jobs_start_after_two_mistakes, setup_three_machines,
+                                      teardown_controllers),
+  };
+  return RUN_TESTS(tests);
+}
