Faulty machines: a task that began before the errors does not clear them

Cause: any completed task cleared a machine's errors. A machine that has just become faulty still completes what it started before, so its errors were cleared again and again while it went on to fail all new tasks.

Change: a completed task clears the errors up to the time of its placement only.

Evidence: tasks_started_before_the_errors_clear_nothing fails on the code before.

--- a/src/replica/apply_operation.c
+++ b/src/replica/apply_operation.c
@@ -120,7 +120,7 @@
   tmx_run_estimate_observe(replica, &job->spec, ran_s);
   if (job->outcome != TMX_JOB_DONE) job->n_done++;
   job->failures.consecutive = 0;
-  tmx_machine_faults_record_success(replica, machine);
+  tmx_machine_faults_record_success(replica, machine, task->placed_at);
 }
 
 /* Exponential backoff: doubles with each consecutive failure, up to TMX_JOB_BACKOFF_MAX_S. */
--- a/src/replica/machine.h
+++ b/src/replica/machine.h
@@ -28,6 +28,7 @@
 struct tmx_job_errors {
   struct tmx_job *job; /**< the job; it lives as long as the replica's content */
   uint32_t count;      /**< attempts that ended with an error */
+  float last_at;       /**< when the last of them ended, monotonic clock, seconds */
 };
 
 /** An image in a machine's cache. */
@@ -54,7 +55,7 @@
       booked_gpus,           /**< GPUs of all tasks placed on it */
       booked_mem_gb;         /**< memory of all tasks placed on it, GB */
   double service_cpus;       /**< part of `booked_cpus` that belongs to services */
-  /** Errors since its last success, by job; the job whose first error is the oldest comes first. */
+  /** Errors after which it had no success yet, by job, in the order of the jobs' first errors. */
   struct tmx_job_errors errors[TMX_FAILED_JOBS_KEPT];
   size_t n_errors; /**< entries of `errors` in use */
   bool faulty;     /**< its errors show that it is faulty, see machine_faults.h */
--- a/src/replica/machine_faults.c
+++ b/src/replica/machine_faults.c
@@ -109,11 +109,22 @@
                                      struct tmx_job *job, double placed_s) {
   if (placed_s > job->failures.longest_s) job->failures.longest_s = placed_s;
   record_failed_machine(job, machine->id);
-  find_or_add_record(machine, job)->count++;
+  struct tmx_job_errors *record = find_or_add_record(machine, job);
+  record->count++;
+  record->last_at = (float)replica->now;
   tmx_machine_faults_update(replica, machine, replica->now);
 }
 
-void tmx_machine_faults_record_success(struct tmx_replica *replica, struct tmx_machine *machine) {
-  machine->n_errors = 0;
+/* Removes the errors before this time. */
+static void clear_errors_until(struct tmx_machine *machine, float time) {
+  size_t kept = 0;
+  for (size_t i = 0; i < machine->n_errors; i++)
+    if (machine->errors[i].last_at > time) machine->errors[kept++] = machine->errors[i];
+  machine->n_errors = kept;
+}
+
+void tmx_machine_faults_record_success(struct tmx_replica *replica, struct tmx_machine *machine,
+                                       float placed_at) {
+  clear_errors_until(machine, placed_at);
   tmx_machine_faults_update(replica, machine, replica->now);
 }
--- a/src/replica/machine_faults.h
+++ b/src/replica/machine_faults.h
@@ -23,9 +23,15 @@
  */
 void tmx_machine_faults_record_error(struct tmx_replica *replica, struct tmx_machine *machine,
                                      struct tmx_job *job, double placed_s);
-/** Records that the machine ran a task successfully. Clears the errors that are recorded for the
- * machine. */
-void tmx_machine_faults_record_success(struct tmx_replica *replica, struct tmx_machine *machine);
+/**
+ * Records that the machine ran a task successfully. Clears the errors before the task was placed: a
+ * faulty machine may still complete tasks that it started before the fault.
+ * @param replica the replica to change.
+ * @param machine the machine that the task was on.
+ * @param placed_at when the attempt was placed, monotonic clock, seconds.
+ */
+void tmx_machine_faults_record_success(struct tmx_replica *replica, struct tmx_machine *machine,
+                                       float placed_at);
 /**
  * Decides again whether the machine is faulty. Must be called regularly, as the tasks on other
  * machines may show who is to blame for the errors on this one. Notifies the observer of a change.
--- a/tests/test_machine_faults.c
+++ b/tests/test_machine_faults.c
@@ -227,6 +227,21 @@
   assert_false(machine(1)->faulty);
 }
 
+/* A machine that has become faulty still completes the tasks that it started before. */
+static void tasks_started_before_the_errors_clear_nothing(void **state) {
+  (void)state;
+  place_on(3, 1, 1);
+  uint32_t early_attempt = attempt;
+  replica.now += 10;
+  fail_on(1, 1, 4);
+  put_line("e wk-3/1 %u d", early_attempt);
+  fail_on(2, 1, 1);
+  assert_true(machine(1)->faulty);
+  replica.now += 10;
+  complete_on(3, 1);
+  assert_false(machine(1)->faulty);
+}
+
 /* More jobs than a machine remembers: the oldest are forgotten, and nothing else is. */
 static void the_oldest_job_is_forgotten(void **state) {
   (void)state;
@@ -267,6 +282,8 @@
                                       teardown),
       cmocka_unit_test_setup_teardown(a_task_that_fails_late_is_no_survivor, setup, teardown),
       cmocka_unit_test_setup_teardown(a_success_clears_a_machine, setup, teardown),
+      cmocka_unit_test_setup_teardown(tasks_started_before_the_errors_clear_nothing, setup,
+                                      teardown),
       cmocka_unit_test_setup_teardown(the_oldest_job_is_forgotten, setup, teardown),
       cmocka_unit_test_setup_teardown(a_load_gives_the_same_decision, setup_unloaded, teardown),
   };
