Faulty machines: one sound job that fails on few machines is evidence enough

Cause: errors of two jobs were asked for, as one job may have a mistake. Beside jobs with a mistake, whose errors no longer count, a faulty machine had to wait for a second sound job.

Change: four errors of one job are enough if a completed or a surviving task shows that it has no mistake, and if it failed on fewer than four machines. An array of which some tasks fail anywhere soon fails on four.

Evidence: one_sound_job_shows_a_faulty_machine fails on the code before.

--- a/include/tmx/constants/workers.h
+++ b/include/tmx/constants/workers.h
@@ -105,7 +105,7 @@
 #define TMX_LEADER_SETTLE_S 3.0
 /** Errors without a success in between that make a machine faulty. */
 #define TMX_FAULTY_MACHINE_ERRORS 4
-/** Jobs, at least, whose errors make a machine faulty. */
+/** Jobs, at least, whose errors make a machine faulty, unless a job is known to be sound. */
 #define TMX_FAULTY_MACHINE_JOBS 2
 /**
  * Seconds; a task that is on its machine for this much longer than those of its job that failed has
--- a/src/replica/machine_faults.c
+++ b/src/replica/machine_faults.c
@@ -74,6 +74,13 @@
   return !fails_everywhere(job, now) && job->failures.n_machines <= failed_jobs;
 }
 
+/* Returns whether the errors of this job alone show that the machine is faulty: the job is known to
+ * be sound, and failed on few machines. A job of which some tasks fail anywhere fails on many. */
+static bool condemns_alone(const struct tmx_job_errors *record, double now) {
+  return record->count >= TMX_FAULTY_MACHINE_ERRORS && is_sound(record->job, now) &&
+         record->job->failures.n_machines < TMX_FAILED_MACHINES_KEPT;
+}
+
 static bool is_faulty(const struct tmx_machine *machine, double now) {
   uint32_t failed_jobs = 0, errors = 0, jobs = 0;
   for (size_t i = 0; i < machine->n_errors; i++)
@@ -81,6 +88,7 @@
   for (size_t i = 0; i < machine->n_errors; i++) {
     const struct tmx_job_errors *record = &machine->errors[i];
     if (!counts_against_machine(record->job, failed_jobs, now)) continue;
+    if (condemns_alone(record, now)) return true;
     errors += record->count;
     jobs++;
   }
--- a/tests/test_machine_faults.c
+++ b/tests/test_machine_faults.c
@@ -120,6 +120,19 @@
   assert_true(machine(2)->faulty);
 }
 
+/* A job that completes its tasks elsewhere shows a faulty machine alone, but not if some of its
+ * tasks fail anywhere. */
+static void one_sound_job_shows_a_faulty_machine(void **state) {
+  (void)state;
+  complete_on(1, 8);
+  fail_on(1, 1, 3);
+  assert_false(machine(1)->faulty);
+  fail_on(1, 1, 1);
+  assert_true(machine(1)->faulty);
+  for (int i = 2; i <= 4; i++) fail_on(1, i, 4);
+  assert_int_equal(count_faulty(), 0);
+}
+
 /* Four jobs of one task each: each fails on the faulty machine once. */
 static void jobs_of_one_task_show_a_faulty_machine(void **state) {
   (void)state;
@@ -270,6 +283,7 @@
   const struct CMUnitTest tests[] = {
       cmocka_unit_test_setup_teardown(a_machine_on_which_several_jobs_fail_is_faulty, setup,
                                       teardown),
+      cmocka_unit_test_setup_teardown(one_sound_job_shows_a_faulty_machine, setup, teardown),
       cmocka_unit_test_setup_teardown(jobs_of_one_task_show_a_faulty_machine, setup, teardown),
       cmocka_unit_test_setup_teardown(jobs_that_fail_everywhere_make_no_machine_faulty, setup,
                                       teardown),
