Faulty machines: a quarantine that ends, and probation

A machine that was called faulty and held a replica stayed so: only a completed task cleared it, none was placed there, a replica never completes, and only an empty machine is deleted. So a mistaken verdict, or a fault that passed, took its free CPUs out of use until its last replica was cancelled.

Change: a faulty machine gets no tasks for 30 s after its last error. It is then on probation: it gets tasks that fit on no other machine, until one of them completes or survives (20 s longer than its job's failed tasks) or one more error puts it back. Two quarantines are shorter than the 90 s that a job may wait. An empty machine on probation is deleted like a faulty one.

--- a/include/tmx/constants/workers.h
+++ b/include/tmx/constants/workers.h
@@ -107,6 +107,11 @@
 #define TMX_FAULTY_MACHINE_ERRORS 4
 /** Jobs, at least, whose errors make a machine faulty, unless a job is known to be sound. */
 #define TMX_FAULTY_MACHINE_JOBS 2
+/**
+ * Seconds after its last error for which a faulty machine gets no tasks. Two of these times are
+ * shorter than the longest time for which a task may wait while a machine has room.
+ */
+#define TMX_FAULTY_MACHINE_QUARANTINE_S 30.0
 /**
  * Seconds; a task that is on its machine for this much longer than those of its job that failed has
  * survived. The time covers the fetch of an image.
--- a/src/cloud/reclaim.c
+++ b/src/cloud/reclaim.c
@@ -26,7 +26,7 @@
       .has_tasks = machine->tasks,
       .has_services = machine->service_cpus > 0,
       .draining = machine->draining,
-      .faulty = machine->faulty};
+      .faulty = machine->condition != TMX_MACHINE_SOUND};
   /* The owner's suspicion counts only if the owner reaches its other machines. */
   result.suspected = machine->owner >= 0 && evidence->owner_healthy[machine->owner] &&
                      tmx_workers_find_suspicion(cloud->workers, machine, &result.suspicion);
--- a/src/cloud/scale_in.c
+++ b/src/cloud/scale_in.c
@@ -44,7 +44,7 @@
  * machine that still holds tasks is available sooner than a machine that has yet to boot. A faulty
  * machine keeps draining. */
 static bool must_cancel_draining(const struct tmx_machine *machine, bool capacity_short) {
-  return capacity_short && machine->tasks && !machine->faulty;
+  return capacity_short && machine->tasks && machine->condition == TMX_MACHINE_SOUND;
 }
 
 /* Sums the fleet, and cancels the draining of machines that are needed again. */
--- a/src/planner/placement_cost.c
+++ b/src/planner/placement_cost.c
@@ -93,6 +93,6 @@
   double cost = cost_with_fetch(&machine->record, spec, fetch_s);
   if (is_unpreferred_kind(round, job, machine->record.spot)) cost += SPOT_PREFERENCE_COST;
   if (fetch_s > spec->fetch_tolerance_s * LATE_FETCH_SHARE) cost += COLD_IMAGE_COST;
-  if (failed_recently_on(job, machine)) cost += FAILED_MACHINE_COST;
+  if (machine->record.on_probation || failed_recently_on(job, machine)) cost += FAILED_MACHINE_COST;
   return cost;
 }
--- a/src/planner/planner_delta.h
+++ b/src/planner/planner_delta.h
@@ -34,7 +34,8 @@
       type[TMX_ID_BYTES]; /**< name of the machine type */
   int zone;               /**< index of the zone; -1: unknown, the machine gets no tasks */
   bool spot;              /**< spot instance: the provider may reclaim it */
-  bool usable;   /**< recent contact in both directions, not faulty, no interruption notice */
+  bool usable;       /**< recent contact in both directions, not faulty, no interruption notice */
+  bool on_probation; /**< it was faulty recently: it gets only tasks that find no other machine */
   bool draining; /**< will be returned to the cloud: services move off it, it gets no new tasks */
   int owner;     /**< index of the member that controls it */
   double cpus,   /**< total CPUs */
--- a/src/replica/machine.h
+++ b/src/replica/machine.h
@@ -24,6 +24,14 @@
 /** Maximum number of jobs whose errors are remembered per machine. */
 #define TMX_FAILED_JOBS_KEPT 8
 
+/** What the errors on a machine show, see machine_faults.h. */
+enum tmx_machine_condition {
+  TMX_MACHINE_SOUND,        /**< no evidence of a fault */
+  TMX_MACHINE_ON_PROBATION, /**< it was faulty and has had no error since for a while; it gets tasks
+                               that no other machine has capacity for */
+  TMX_MACHINE_FAULTY        /**< it gets no tasks */
+};
+
 /** Errors of one job's tasks on a machine. */
 struct tmx_job_errors {
   struct tmx_job *job; /**< the job; it lives as long as the replica's content */
@@ -57,8 +65,8 @@
   double service_cpus;       /**< part of `booked_cpus` that belongs to services */
   /** Errors after which it had no success yet, by job, in the order of the jobs' first errors. */
   struct tmx_job_errors errors[TMX_FAILED_JOBS_KEPT];
-  size_t n_errors; /**< entries of `errors` in use */
-  bool faulty;     /**< its errors show that it is faulty, see machine_faults.h */
+  size_t n_errors;                          /**< entries of `errors` in use */
+  enum tmx_machine_condition condition;     /**< what these errors show */
   struct tmx_image images[TMX_IMAGES_KEPT]; /**< most recently placed first, according to the log */
   size_t n_images;                          /**< entries of `images` in use */
   double capacity_cpus, /**< CPUs of its machine type, set by the scheduler; 0: unknown */
--- a/src/replica/machine_faults.c
+++ b/src/replica/machine_faults.c
@@ -1,5 +1,6 @@
 #include "replica/machine_faults.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -81,36 +82,91 @@
          record->job->failures.n_machines < TMX_FAILED_MACHINES_KEPT;
 }
 
-static bool is_faulty(const struct tmx_machine *machine, double now) {
-  uint32_t failed_jobs = 0, errors = 0, jobs = 0;
+/* The errors on a machine that are evidence against it. */
+struct evidence {
+  uint32_t errors, jobs;
+  bool conclusive; /* one of the jobs condemns the machine alone */
+  float last_at;   /* when the last of the errors occurred, monotonic clock, seconds */
+};
+
+static void add_to_evidence(struct evidence *evidence, const struct tmx_job_errors *record,
+                            double now) {
+  evidence->errors += record->count;
+  evidence->jobs++;
+  evidence->conclusive |= condemns_alone(record, now);
+  if (record->last_at > evidence->last_at) evidence->last_at = record->last_at;
+}
+
+static struct evidence collect_evidence(const struct tmx_machine *machine, double now) {
+  struct evidence evidence = {0};
+  uint32_t failed_jobs = 0;
   for (size_t i = 0; i < machine->n_errors; i++)
     failed_jobs += !fails_everywhere(machine->errors[i].job, now);
-  for (size_t i = 0; i < machine->n_errors; i++) {
-    const struct tmx_job_errors *record = &machine->errors[i];
-    if (!counts_against_machine(record->job, failed_jobs, now)) continue;
-    if (condemns_alone(record, now)) return true;
-    errors += record->count;
-    jobs++;
-  }
-  return errors >= TMX_FAULTY_MACHINE_ERRORS && jobs >= TMX_FAULTY_MACHINE_JOBS;
+  for (size_t i = 0; i < machine->n_errors; i++)
+    if (counts_against_machine(machine->errors[i].job, failed_jobs, now))
+      add_to_evidence(&evidence, &machine->errors[i], now);
+  return evidence;
+}
+
+static enum tmx_machine_condition decide_condition(const struct tmx_machine *machine, double now) {
+  const struct evidence evidence = collect_evidence(machine, now);
+  if (!evidence.conclusive &&
+      (evidence.errors < TMX_FAULTY_MACHINE_ERRORS || evidence.jobs < TMX_FAULTY_MACHINE_JOBS))
+    return TMX_MACHINE_SOUND;
+  return now - evidence.last_at < TMX_FAULTY_MACHINE_QUARANTINE_S ? TMX_MACHINE_FAULTY
+                                                                  : TMX_MACHINE_ON_PROBATION;
 }
 
-static void log_change(const struct tmx_machine *machine) {
+static void log_condition(const struct tmx_machine *machine) {
   if (!tmx_log_enabled(TMX_LOG_INFO)) return;
   uint32_t errors = 0;
   for (size_t i = 0; i < machine->n_errors; i++) errors += machine->errors[i].count;
-  tmx_log(TMX_LOG_INFO, "machine: %s is %s, %u errors of %zu jobs since its last success",
-          machine->id, machine->faulty ? "faulty" : "no longer faulty", errors, machine->n_errors);
+  switch (machine->condition) {
+    case TMX_MACHINE_SOUND:
+      tmx_log(TMX_LOG_INFO, "machine: %s is no longer faulty", machine->id);
+      break;
+    case TMX_MACHINE_ON_PROBATION:
+      tmx_log(TMX_LOG_INFO, "machine: %s is on probation, its last error was %.0f s ago",
+              machine->id, TMX_FAULTY_MACHINE_QUARANTINE_S);
+      break;
+    case TMX_MACHINE_FAULTY:
+      tmx_log(TMX_LOG_INFO,
+              "machine: %s is faulty, %u errors of %zu jobs without a success; it gets no tasks "
+              "until %.0f s after the last one",
+              machine->id, errors, machine->n_errors, TMX_FAULTY_MACHINE_QUARANTINE_S);
+      break;
+  }
+}
+
+/* Removes the errors up to this time. */
+static void clear_errors_until(struct tmx_machine *machine, float time) {
+  size_t kept = 0;
+  for (size_t i = 0; i < machine->n_errors; i++)
+    if (machine->errors[i].last_at > time) machine->errors[kept++] = machine->errors[i];
+  machine->n_errors = kept;
+}
+
+/* A task that was placed after errors and outlasts them is a success, like a completed one.
+ * Replicas of services never complete. */
+static void clear_survived_errors(struct tmx_machine *machine, double now) {
+  if (!machine->n_errors) return;
+  for (const struct tmx_task *task = machine->tasks; task; task = task->next) {
+    const double survival_s = task->job->failures.longest_s + TMX_TASK_SURVIVAL_S;
+    if (task->stop_mode || task->job->outcome || now - task->placed_at < survival_s) continue;
+    /* All tasks placed and errors recorded while the replica was loaded have the same time. */
+    clear_errors_until(machine, nextafterf(task->placed_at, 0));
+  }
 }
 
 void tmx_machine_faults_update(struct tmx_replica *replica, struct tmx_machine *machine,
                                double now) {
-  const bool faulty = is_faulty(machine, now);
-  if (faulty == machine->faulty) return;
-  machine->faulty = faulty;
-  if (replica->loaded) log_change(machine);
+  clear_survived_errors(machine, now);
+  const enum tmx_machine_condition condition = decide_condition(machine, now);
+  if (condition == machine->condition) return;
+  machine->condition = condition;
+  if (replica->loaded) log_condition(machine);
   tmx_replica_notify_machine(replica, machine);
-  if (!faulty) tmx_replica_notify_schedulable(replica);
+  if (condition != TMX_MACHINE_FAULTY) tmx_replica_notify_schedulable(replica);
 }
 
 void tmx_machine_faults_record_error(struct tmx_replica *replica, struct tmx_machine *machine,
@@ -123,14 +179,6 @@
   tmx_machine_faults_update(replica, machine, replica->now);
 }
 
-/* Removes the errors before this time. */
-static void clear_errors_until(struct tmx_machine *machine, float time) {
-  size_t kept = 0;
-  for (size_t i = 0; i < machine->n_errors; i++)
-    if (machine->errors[i].last_at > time) machine->errors[kept++] = machine->errors[i];
-  machine->n_errors = kept;
-}
-
 void tmx_machine_faults_record_success(struct tmx_replica *replica, struct tmx_machine *machine,
                                        float placed_at) {
   clear_errors_until(machine, placed_at);
--- a/src/replica/machine_faults.h
+++ b/src/replica/machine_faults.h
@@ -7,6 +7,9 @@
  * anew whenever one of them changes. What is learned of a job later therefore also applies to the
  * errors that are recorded already.
  *
+ * No decision lasts for ever. A faulty machine gets no tasks for TMX_FAULTY_MACHINE_QUARANTINE_S
+ * after its last error. It is then on probation until a task succeeds or fails on it.
+ *
  * The records follow from the log alone. They are not stored: a replica that is loaded knows only
  * the errors since the last compaction.
  */
@@ -33,7 +36,7 @@
 void tmx_machine_faults_record_success(struct tmx_replica *replica, struct tmx_machine *machine,
                                        float placed_at);
 /**
- * Decides again whether the machine is faulty. Must be called regularly, as the tasks on other
+ * Decides the condition of the machine again. Must be called regularly, as the tasks on other
  * machines may show who is to blame for the errors on this one. Notifies the observer of a change.
  * @param replica the replica to change.
  * @param machine a machine of the replica.
--- a/src/scheduler/planner_records.c
+++ b/src/scheduler/planner_records.c
@@ -45,7 +45,8 @@
   record->spot = machine->spot;
   record->draining = machine->draining;
   record->owner = machine->owner;
-  record->usable = type && machine->usable && !machine->faulty;
+  record->usable = type && machine->usable && machine->condition != TMX_MACHINE_FAULTY;
+  record->on_probation = machine->condition == TMX_MACHINE_ON_PROBATION;
   if (type) copy_type(record, machine, type);
   record->booked_cpus = machine->booked_cpus;
   record->booked_gpus = machine->booked_gpus;
--- a/tests/test_planner_placement.c
+++ b/tests/test_planner_placement.c
@@ -50,6 +50,22 @@
   free_cluster(cluster);
 }
 
+/* A machine that was faulty recently gets only the tasks that fit nowhere else. */
+static void a_machine_on_probation_is_the_last_resort(void **state) {
+  (void)state;
+  struct planned_cluster *cluster = make_cluster(2, 1, 1);
+  struct tmx_round_output output;
+  add_job(cluster, 0, false, 2, 2);
+  cluster->machines[0].on_probation = true;
+  cluster->machines[1].booked_cpus = 14;
+  run_round(cluster, &output);
+  assert_int_equal(output.n_operations, 2);
+  assert_string_equal(output.operations[0].machine, "n-000001");
+  assert_string_equal(output.operations[1].machine, "n-000000");
+  free(output.operations);
+  free_cluster(cluster);
+}
+
 static void a_machine_that_fetches_the_image_is_preferred(void **state) {
   (void)state;
   struct tmx_plan_machine machine = {.cpus = 16, .mem_gb = 64, .fetch_gb_per_s = 1, .n_images = 1};
@@ -234,6 +250,7 @@
   const struct CMUnitTest tests[] = {
       cmocka_unit_test(caps_follow_the_affinity_draft),
       cmocka_unit_test(the_least_booked_machine_is_picked),
+      cmocka_unit_test(a_machine_on_probation_is_the_last_resort),
       cmocka_unit_test(a_machine_that_fetches_the_image_is_preferred),
       cmocka_unit_test(a_task_waits_rather_than_exceed_a_zone_cap),
       cmocka_unit_test(quota_is_never_exceeded),
