Faulty machines: their free CPUs are no capacity for renting, draining and returning

Cause: scale-out counted the free CPUs of machines that get no tasks, "80 free CPUs on 8 machines" of which all 8 were faulty. Scale-in counted them too, as room for replicas that must move, as headroom for idle returns and as part of the fleet above the peak.

Change: tmx_machine_is_capacity, used by all three. A drained machine that the totals do not include takes nothing from them.

--- a/src/cloud/reclaim_evidence.c
+++ b/src/cloud/reclaim_evidence.c
@@ -31,7 +31,8 @@
   HASH_ITER(hh, replica->machines, machine, next_machine) {
     if (!machine->registered) continue;
     const struct tmx_machine_type *type = tmx_machine_catalog_find(cloud->catalog, machine->type);
-    if (type && !machine->draining) evidence->free_cpus += type->cpus - machine->booked_cpus;
+    if (type && tmx_machine_is_capacity(machine))
+      evidence->free_cpus += type->cpus - machine->booked_cpus;
     evidence->service_cpus += machine->service_cpus;
   }
   /* With thousands of tasks, a few are always pending for a short time; they do not count as a
--- a/src/cloud/scale_in.c
+++ b/src/cloud/scale_in.c
@@ -63,6 +63,7 @@
         fleet.draining_cpus += type->cpus;
       continue;
     }
+    if (!tmx_machine_is_capacity(machine)) continue;
     fleet.cpus += type->cpus;
     if (machine->zone >= 0 && !machine->spot)
       fleet.free_cpus_in_zone[machine->zone] += type->cpus - machine->booked_cpus;
@@ -82,6 +83,7 @@
                                                   .type = type,
                                                   .zone = machine->zone,
                                                   .spot = machine->spot,
+                                                  .out_of_use = !tmx_machine_is_capacity(machine),
                                                   .booked_cpus = machine->booked_cpus,
                                                   .service_cpus = machine->service_cpus};
     if (tmx_replicas_can_move(fleet, reserve, &candidate, cloud->settings->n_zones))
--- a/src/cloud/scale_in_policy.c
+++ b/src/cloud/scale_in_policy.c
@@ -26,11 +26,16 @@
       .free_share_for_moves = fmin(TMX_MOVE_CAPACITY_SHARE_MAX, 2 * margin)};
 }
 
+/* CPUs by which the fleet shrinks if the candidate is drained. */
+static double counted_cpus(const struct tmx_drain_candidate *candidate) {
+  return candidate->out_of_use ? 0 : candidate->type->cpus;
+}
+
 bool tmx_replicas_can_move(const struct tmx_fleet *fleet, const struct tmx_reserve *reserve,
                            const struct tmx_drain_candidate *candidate, size_t n_zones) {
   if (candidate->service_cpus <= 0) return true;
-  double others_free =
-      fleet->free_cpus_in_zone[candidate->zone] - (candidate->type->cpus - candidate->booked_cpus);
+  double own_free = candidate->out_of_use ? 0 : candidate->type->cpus - candidate->booked_cpus;
+  double others_free = fleet->free_cpus_in_zone[candidate->zone] - own_free;
   double needed = TMX_MOVE_CAPACITY_FACTOR * candidate->service_cpus +
                   reserve->free_share_for_moves * reserve->peak_cpus / (double)n_zones;
   return others_free >= needed;
@@ -54,7 +59,8 @@
                                                 const struct tmx_reserve *reserve,
                                                 const struct tmx_drain_candidate *candidate) {
   double cpus = candidate->type->cpus;
-  if (fleet->cpus - cpus < reserve->peak_cpus * (1 + reserve->margin)) return TMX_KEEP_FOR_PEAK;
+  if (fleet->cpus - counted_cpus(candidate) < reserve->peak_cpus * (1 + reserve->margin))
+    return TMX_KEEP_FOR_PEAK;
   /* Few machines with replicas drain at a time, as each move restarts a replica. One such machine
    * may always drain, however small the fleet is. */
   if (candidate->service_cpus > 0 && fleet->draining_cpus > 0 &&
@@ -65,5 +71,5 @@
 
 void tmx_fleet_drain(struct tmx_fleet *fleet, const struct tmx_drain_candidate *candidate) {
   if (candidate->service_cpus > 0) fleet->draining_cpus += candidate->type->cpus;
-  fleet->cpus -= candidate->type->cpus;
+  fleet->cpus -= counted_cpus(candidate);
 }
--- a/src/cloud/scale_in_policy.h
+++ b/src/cloud/scale_in_policy.h
@@ -30,7 +30,7 @@
   double idle_s;       /**< s since the leader last saw a task on it, a backlog or a partition */
   double idle_max_s;   /**< s: it is drained when `idle_s` exceeds this */
   double cpus;         /**< CPUs of the machine; valid if `type_known` */
-  double free_cpus;    /**< CPUs not booked, on all machines that are not draining */
+  double free_cpus;    /**< CPUs not booked, on all machines that count as capacity */
   double service_cpus; /**< CPUs booked by all services */
   double headroom;     /**< share of `service_cpus` that must stay free */
 };
@@ -40,9 +40,9 @@
 /** Totals over all registered machines of known type; CPUs. */
 struct tmx_fleet {
   size_t machines;      /**< number of machines, draining ones included */
-  double cpus;          /**< CPUs of the machines that are not draining */
+  double cpus;          /**< CPUs of the machines that count as capacity */
   double draining_cpus; /**< CPUs of the draining machines that still hold replicas of services */
-  double free_cpus_in_zone[TMX_ZONES_MAX]; /**< not booked, on machines neither draining nor spot */
+  double free_cpus_in_zone[TMX_ZONES_MAX]; /**< not booked, on those of them that are not spot */
 };
 
 /** The capacity that is kept when machines above the peak demand are drained. */
@@ -62,6 +62,7 @@
   const struct tmx_machine_type *type; /**< borrowed from the catalogue */
   int zone;                            /**< zone index of the settings; not -1 */
   bool spot;                           /**< spot, else on demand */
+  bool out_of_use;                     /**< the fleet's totals do not include it */
   double booked_cpus;                  /**< CPUs booked by all its tasks */
   double service_cpus;                 /**< of `booked_cpus`: by replicas of services */
 };
--- a/src/cloud/scale_out.c
+++ b/src/cloud/scale_out.c
@@ -26,7 +26,7 @@
   struct tmx_machine *machine, *next_machine;
   HASH_ITER(hh, cloud->replica->machines, machine, next_machine) {
     const struct tmx_machine_type *type = tmx_machine_catalog_find(cloud->catalog, machine->type);
-    if (!type || !machine->registered || machine->draining) continue;
+    if (!type || !tmx_machine_is_capacity(machine)) continue;
     capacity->cpus += type->cpus;
     if (machine->usable && type->cpus > machine->booked_cpus &&
         type->mem_gb > machine->booked_mem_gb)
--- a/src/replica/machine.h
+++ b/src/replica/machine.h
@@ -85,4 +85,10 @@
   /** @} */
   UT_hash_handle hh; /**< entry in tmx_replica::machines, keyed by id */
 };
+
+/** Returns whether the machine's free resources count as capacity when machines are rented, drained
+ * or returned. Those of a machine that gets no tasks, or only as a last resort, do not. */
+static inline bool tmx_machine_is_capacity(const struct tmx_machine *machine) {
+  return machine->registered && !machine->draining && machine->condition == TMX_MACHINE_SOUND;
+}
 #endif
--- a/tests/test_cloud_decisions.c
+++ b/tests/test_cloud_decisions.c
@@ -266,6 +266,23 @@
   assert_true(tmx_replicas_can_move(&fleet, &reserve, &without_services, 2));
 }
 
+/* The totals do not include a machine out of use, so it takes nothing from them. */
+static void draining_a_machine_out_of_use_frees_nothing(void **state) {
+  (void)state;
+  const struct tmx_reserve reserve = {.peak_cpus = 100, .free_share_for_moves = 0.2};
+  const struct tmx_drain_candidate candidate = {
+      .type = &type, .zone = 0, .booked_cpus = 8, .service_cpus = 4, .out_of_use = true};
+  struct tmx_fleet fleet = {.cpus = 100, .free_cpus_in_zone = {18}};
+  assert_true(tmx_replicas_can_move(&fleet, &reserve, &candidate, 2));
+  fleet.free_cpus_in_zone[0] = 17.9;
+  assert_false(tmx_replicas_can_move(&fleet, &reserve, &candidate, 2));
+  assert_int_equal(tmx_peak_drain_decision(&fleet, &reserve, &candidate), TMX_DRAIN);
+  tmx_fleet_drain(&fleet, &candidate);
+  assert_float_equal(fleet.cpus, 100, 1e-9);
+  fleet.cpus = 99.9;
+  assert_int_equal(tmx_peak_drain_decision(&fleet, &reserve, &candidate), TMX_KEEP_FOR_PEAK);
+}
+
 static void the_reserve_shrinks_as_the_fleet_grows(void **state) {
   (void)state;
   assert_float_equal(tmx_reserve_for(100, 0).margin, TMX_PEAK_MARGIN_SHARE_MAX, 1e-9);
@@ -329,6 +346,7 @@
       cmocka_unit_test(a_drained_machine_leaves_the_fleet_totals),
       cmocka_unit_test(the_most_expensive_machines_are_drained_first),
       cmocka_unit_test(replicas_move_only_if_their_zone_has_free_capacity),
+      cmocka_unit_test(draining_a_machine_out_of_use_frees_nothing),
       cmocka_unit_test(the_reserve_shrinks_as_the_fleet_grows),
       cmocka_unit_test(the_peak_demand_covers_a_sliding_window),
       cmocka_unit_test(the_backoff_of_an_offer_doubles_up_to_a_maximum),
