Faulty machines: deleted only once confirmed, and not if most machines look faulty

Cause: an empty faulty machine was deleted at once, within 0.25 s. Jobs with a mistake look like a faulty machine until they have failed elsewhere too, which takes a backoff, a placement and the fetch of an image; on a fleet of few machines they have nowhere else to fail. So a pair of mistaken jobs could cost a machine, and a small fleet all of its machines.

Change: a machine must be suspect for 5 s before it is deleted, and it is kept while more than half of the machines are.

--- a/include/tmx/constants/workers.h
+++ b/include/tmx/constants/workers.h
@@ -112,6 +112,11 @@
  * shorter than the longest time for which a task may wait while a machine has room.
  */
 #define TMX_FAULTY_MACHINE_QUARANTINE_S 30.0
+/**
+ * Seconds for which a machine must be suspect before it is deleted: the time in which a job with a
+ * mistake fails elsewhere, backoffs and the fetch of an image included.
+ */
+#define TMX_FAULTY_MACHINE_DELETION_S 5.0
 /**
  * Seconds; a task that is on its machine for this much longer than those of its job that failed has
  * survived. The time covers the fetch of an image.
--- a/src/cloud/reclaim.c
+++ b/src/cloud/reclaim.c
@@ -16,6 +16,16 @@
          no_contact_s > evidence->leading_s + TMX_INHERITED_CONTACT_LOSS_S;
 }
 
+/* Returns whether a machine is to be replaced for its errors. Jobs with a mistake may look like
+ * faulty machines until they have failed elsewhere too, which takes a few seconds. If most machines
+ * look faulty, that is the more likely explanation: they are kept until others have taken their
+ * place. */
+static bool is_confirmed_faulty(const struct tmx_reclaim_evidence *evidence,
+                                const struct tmx_machine *machine) {
+  return machine->condition != TMX_MACHINE_SOUND && !evidence->most_machines_suspect &&
+         evidence->now - machine->suspect_since >= TMX_FAULTY_MACHINE_DELETION_S;
+}
+
 static struct tmx_machine_evidence evidence_of_machine(const struct tmx_cloud *cloud,
                                                        const struct tmx_reclaim_evidence *evidence,
                                                        const struct tmx_machine *machine) {
@@ -26,7 +36,7 @@
       .has_tasks = machine->tasks,
       .has_services = machine->service_cpus > 0,
       .draining = machine->draining,
-      .faulty = machine->condition != TMX_MACHINE_SOUND};
+      .faulty = is_confirmed_faulty(evidence, machine)};
   /* The owner's suspicion counts only if the owner reaches its other machines. */
   result.suspected = machine->owner >= 0 && evidence->owner_healthy[machine->owner] &&
                      tmx_workers_find_suspicion(cloud->workers, machine, &result.suspicion);
--- a/src/cloud/reclaim_evidence.c
+++ b/src/cloud/reclaim_evidence.c
@@ -28,13 +28,17 @@
 static void sum_capacity(struct tmx_reclaim_evidence *evidence, const struct tmx_cloud *cloud) {
   const struct tmx_replica *replica = cloud->replica;
   struct tmx_machine *machine, *next_machine;
+  size_t registered = 0, suspect = 0;
   HASH_ITER(hh, replica->machines, machine, next_machine) {
     if (!machine->registered) continue;
+    registered++;
+    suspect += machine->condition != TMX_MACHINE_SOUND;
     const struct tmx_machine_type *type = tmx_machine_catalog_find(cloud->catalog, machine->type);
     if (type && tmx_machine_is_capacity(machine))
       evidence->free_cpus += type->cpus - machine->booked_cpus;
     evidence->service_cpus += machine->service_cpus;
   }
+  evidence->most_machines_suspect = suspect * 2 > registered;
   /* With thousands of tasks, a few are always pending for a short time; they do not count as a
    * backlog. */
   evidence->has_backlog =
--- a/src/cloud/reclaim_evidence.h
+++ b/src/cloud/reclaim_evidence.h
@@ -16,11 +16,13 @@
                                               reaches its workers */
   unsigned healthy_owners;                 /**< how many of `owner_healthy` are true */
   double partition_grace_s[TMX_ZONES_MAX]; /**< s: length of a zone's grace period */
-  double free_cpus;                        /**< CPUs not booked, on machines not draining */
-  double service_cpus;                     /**< CPUs booked by services */
-  bool has_backlog; /**< pending tasks request more than TMX_WAITING_CPUS_SHARE of the free and
-                       booked CPUs */
-  bool any_zone_partitioned; /**< a zone counts as partitioned, see tmx_zone_partitions */
+  double free_cpus;    /**< CPUs not booked, on machines that count as capacity */
+  double service_cpus; /**< CPUs booked by services */
+  bool has_backlog;    /**< pending tasks request more than TMX_WAITING_CPUS_SHARE of the free and
+                          booked CPUs */
+  bool most_machines_suspect; /**< more than half of the machines have errors that make them faulty
+                               */
+  bool any_zone_partitioned;  /**< a zone counts as partitioned, see tmx_zone_partitions */
 };
 
 /** Gathers the evidence. Records zones that are partitioned in the cloud's `zone_partitions`. */
--- a/src/cloud/replacement_policy.h
+++ b/src/cloud/replacement_policy.h
@@ -16,7 +16,7 @@
   TMX_DELETE_SILENT,         /**< it sends no heartbeats and answers no probes */
   TMX_DELETE_UNACKNOWLEDGED, /**< its heartbeats arrive, but it acknowledges no commands */
   TMX_DELETE_DRAINED,        /**< it was draining and holds no tasks any more */
-  TMX_DELETE_FAULTY,         /**< consecutive tasks of several jobs failed on it */
+  TMX_DELETE_FAULTY,         /**< tasks fail on it that run elsewhere */
   TMX_DELETE_BOOT_TIMEOUT,   /**< it takes far longer to boot than is usual for its type */
   TMX_DELETE_NO_HEARTBEAT    /**< it is listed as running but has sent no heartbeat */
 };
@@ -36,7 +36,7 @@
   bool has_tasks;       /**< tasks are placed on it */
   bool has_services;    /**< some of these tasks are replicas of services */
   bool draining;        /**< it gets no new tasks and is deleted when it is empty */
-  bool faulty;          /**< TMX_FAULTY_MACHINE_ERRORS consecutive task errors, of several jobs */
+  bool faulty;          /**< its errors have shown for a while that it is faulty */
 };
 
 /** Time limits for registered machines, s. */
--- a/src/replica/machine.h
+++ b/src/replica/machine.h
@@ -65,8 +65,10 @@
   double service_cpus;       /**< part of `booked_cpus` that belongs to services */
   /** Errors after which it had no success yet, by job, in the order of the jobs' first errors. */
   struct tmx_job_errors errors[TMX_FAILED_JOBS_KEPT];
-  size_t n_errors;                          /**< entries of `errors` in use */
-  enum tmx_machine_condition condition;     /**< what these errors show */
+  size_t n_errors;                      /**< entries of `errors` in use */
+  enum tmx_machine_condition condition; /**< what these errors show */
+  double suspect_since; /**< when it was last found not to be sound, monotonic clock, seconds; valid
+                           unless `condition` is TMX_MACHINE_SOUND */
   struct tmx_image images[TMX_IMAGES_KEPT]; /**< most recently placed first, according to the log */
   size_t n_images;                          /**< entries of `images` in use */
   double capacity_cpus, /**< CPUs of its machine type, set by the scheduler; 0: unknown */
--- a/src/replica/machine_faults.c
+++ b/src/replica/machine_faults.c
@@ -163,6 +163,7 @@
   clear_survived_errors(machine, now);
   const enum tmx_machine_condition condition = decide_condition(machine, now);
   if (condition == machine->condition) return;
+  if (machine->condition == TMX_MACHINE_SOUND) machine->suspect_since = now;
   machine->condition = condition;
   if (replica->loaded) log_condition(machine);
   tmx_replica_notify_machine(replica, machine);
--- a/tests/test_faulty_machines.c
+++ b/tests/test_faulty_machines.c
@@ -41,6 +41,16 @@
     }
 }
 
+static void fail_all_new_tasks(struct fake_worker *machine,
+                               const struct fake_command_request *request) {
+  (void)request;
+  for (size_t i = 0; i < machine->n_tasks; i++) {
+    if (strcmp(machine->tasks[i].state, WV_RUNNING)) continue;
+    snprintf(machine->tasks[i].state, sizeof machine->tasks[i].state, WV_EXITED);
+    snprintf(machine->tasks[i].reason, sizeof machine->tasks[i].reason, WV_ERROR);
+  }
+}
+
 static void send_heartbeat(struct fake_worker *machine) {
   fake_worker_send_heartbeat(machine, first_controller);
   if (second_controller && machine->report_status != 200)
@@ -109,11 +119,14 @@
 static int setup_three_machines(void **state) { return setup_machines(state, 3); }
 static int setup_one_machine(void **state) { return setup_machines(state, 1); }
 
-/* Submits two arrays that fail on all machines, each of which holds a replica of a service, and
- * cancels them when they have failed everywhere. */
-static void let_two_mistakes_fail(void) {
+static void place_a_replica_on_each_machine(void) {
   submit_simple_job(first_controller, "wk-000100", "service", (uint32_t)n_machines, 2, "t");
   assert_true(run_cluster_until(each_machine_has_a_replica, 20));
+}
+
+/* Submits two arrays that fail on all machines, and cancels them when they have failed everywhere.
+ */
+static void let_two_mistakes_fail(void) {
   for (size_t j = 0; j < MISTAKES; j++)
     submit_simple_job(first_controller, mistaken_jobs[j], "batch",
                       (uint32_t)n_machines * TASKS_FOR_MACHINE, 2, "t");
@@ -131,7 +144,22 @@
 /* Guards against jobs that wait although machines have room (review/3). */
 static void later_jobs_start_after_two_mistakes(void **state) {
   (void)state;
+  place_a_replica_on_each_machine();
+  let_two_mistakes_fail();
+  submit_later_jobs();
+  assert_true(run_cluster_until(later_jobs_run, WAIT_MAX_S));
+  assert_int_equal(fake_cloud.deletions, 0);
+}
+
+/* The same, with a restart of the leader: its successor saw the errors, and the restarted
+ * controller reads them from the log. */
+static void later_jobs_start_after_a_leader_change(void **state) {
+  (void)state;
+  place_a_replica_on_each_machine();
   let_two_mistakes_fail();
+  stop_controller(first_controller);
+  first_controller = start_controller(0, 2);
+  assert_true(run_loop_until(fake_controller_is_ready, first_controller));
   submit_later_jobs();
   assert_true(run_cluster_until(later_jobs_run, WAIT_MAX_S));
   assert_int_equal(fake_cloud.deletions, 0);
@@ -141,6 +169,7 @@
  * like a faulty machine. It has a replica, which never completes, and the cloud has no other. */
 static void the_only_machine_is_tried_again(void **state) {
   (void)state;
+  place_a_replica_on_each_machine();
   let_two_mistakes_fail();
   submit_later_jobs();
   assert_true(run_cluster_until(later_jobs_run, WAIT_MAX_S));
@@ -152,19 +181,52 @@
  * another machine must be rented for the jobs that wait. */
 static void a_faulty_machine_is_replaced_while_jobs_wait(void **state) {
   (void)state;
+  place_a_replica_on_each_machine();
   let_two_mistakes_fail();
   submit_later_jobs();
   assert_true(run_cluster_until(a_rental_was_requested, 5));
 }
 
+/* Guards against the loss of empty machines by jobs with a mistake. The two jobs look like a fault
+ * of the only machine, as they have nowhere else to fail. */
+static void mistakes_do_not_cost_the_only_machine(void **state) {
+  (void)state;
+  let_two_mistakes_fail();
+  submit_later_jobs();
+  assert_true(run_cluster_until(later_jobs_run, WAIT_MAX_S));
+  assert_int_equal(fake_cloud.deletions, 0);
+}
+
+static bool a_machine_was_deleted(void) { return fake_cloud.deletions > 0; }
+
+/* A machine that fails all tasks, of jobs that run elsewhere, is deleted soon, but not before the
+ * jobs had time to fail elsewhere too. */
+static void a_faulty_machine_is_deleted_once_confirmed(void **state) {
+  (void)state;
+  machines[0]->on_command = fail_all_new_tasks;
+  submit_simple_job(first_controller, "wk-000200", "batch", 6, 2, "t");
+  submit_simple_job(first_controller, "wk-000202", "batch", 6, 2, "t");
+  assert_false(
+      run_cluster_until(a_machine_was_deleted, (unsigned)TMX_FAULTY_MACHINE_DELETION_S - 1));
+  assert_true(run_cluster_until(a_machine_was_deleted, 10));
+  assert_string_equal(fake_cloud.deleted[0], machines[0]->id);
+  assert_int_equal(fake_cloud.deletions, 1);
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test_setup_teardown(later_jobs_start_after_two_mistakes, setup_three_machines,
                                       teardown_controllers),
+      cmocka_unit_test_setup_teardown(later_jobs_start_after_a_leader_change, setup_three_machines,
+                                      teardown_controllers),
       cmocka_unit_test_setup_teardown(the_only_machine_is_tried_again, setup_one_machine,
                                       teardown_controllers),
       cmocka_unit_test_setup_teardown(a_faulty_machine_is_replaced_while_jobs_wait,
                                       setup_one_machine, teardown_controllers),
+      cmocka_unit_test_setup_teardown(mistakes_do_not_cost_the_only_machine, setup_one_machine,
+                                      teardown_controllers),
+      cmocka_unit_test_setup_teardown(a_faulty_machine_is_deleted_once_confirmed,
+                                      setup_three_machines, teardown_controllers),
   };
   return RUN_TESTS(tests);
 }
