Faulty machines: a task whose end may be unknown is no survivor

Cause: the log shows a task as placed until its end is committed. While a machine hangs, a zone is cut off or the store is out, a task that failed at once looks as if it had outlasted the others. Two jobs with a mistake would then look sound, and all machines on which they failed would look faulty.

Change: a task counts as a survivor only on a machine that is in contact, and up to the time at which the replica was known to be complete. A job with very many tasks is searched less often, so that the search costs at most 20,000 tasks a second for each job.

New as well, for users who never cancel and for more jobs of one task than there are machines: later_jobs_start_beside_mistakes_that_stay and later_jobs_start_beside_many_mistakes_of_one_task.

--- a/src/replica/machine_faults.c
+++ b/src/replica/machine_faults.c
@@ -7,9 +7,10 @@
 #include "base/log.h"
 #include "replica/replica_internal.h"
 
-/* s; a job's tasks are searched for one that has outlasted its failed attempts at most this often.
- */
+/* s; a job's tasks are searched for a survivor at most this often. */
 static const double SURVIVOR_SEARCH_PERIOD_S = 1;
+/* Tasks of a job that are searched per second, at most, on average. */
+static const double SURVIVOR_SEARCH_TASKS_PER_S = 20000;
 
 static bool has_failed_on(const struct tmx_job *job, const char *machine_id) {
   for (size_t i = 0; i < TMX_FAILED_MACHINES_KEPT; i++)
@@ -36,49 +37,58 @@
   return &records[machine->n_errors++];
 }
 
-/* Returns whether a task of the job has been on its machine for so long that it would have failed
- * by now if the job had a mistake. */
-static bool find_survivor(const struct tmx_job *job, double now) {
-  const double survival_s = job->failures.longest_s + TMX_TASK_SURVIVAL_S;
-  for (uint32_t i = 0; i < job->spec.tasks; i++) {
-    const struct tmx_task *task = &job->tasks[i];
-    if (task->state == TMX_TASK_PLACED && !task->stop_mode && now - task->placed_at >= survival_s)
-      return true;
-  }
+/* Returns whether the task has been on its machine for so long that it would have failed by now if
+ * its job had a mistake or the machine a fault. Its end may be unknown while there is no contact
+ * with the machine, or while the replica is not up to date. */
+static bool has_survived(const struct tmx_replica *replica, const struct tmx_task *task) {
+  const double survival_s = task->job->failures.longest_s + TMX_TASK_SURVIVAL_S;
+  return task->state == TMX_TASK_PLACED && task->machine->usable && !task->stop_mode &&
+         !task->job->outcome && replica->fresh_as_of - task->placed_at >= survival_s;
+}
+
+static bool find_survivor(const struct tmx_replica *replica, const struct tmx_job *job) {
+  for (uint32_t i = 0; i < job->spec.tasks; i++)
+    if (has_survived(replica, &job->tasks[i])) return true;
   return false;
 }
 
+static double survivor_search_period_s(const struct tmx_job *job) {
+  return fmax(SURVIVOR_SEARCH_PERIOD_S, job->spec.tasks / SURVIVOR_SEARCH_TASKS_PER_S);
+}
+
 /* A job with a mistake fails on every machine. Returns whether this job is known to have none. What
  * was known last holds for a job that has ended. */
-static bool is_sound(struct tmx_job *job, double now) {
+static bool is_sound(const struct tmx_replica *replica, struct tmx_job *job, double now) {
   struct tmx_job_failures *failures = &job->failures;
   if (job->n_done) return true;
   if (job->outcome || !job->n_placed) return failures->has_survivor;
-  if (now - failures->survivor_searched_at < SURVIVOR_SEARCH_PERIOD_S)
+  if (now - failures->survivor_searched_at < survivor_search_period_s(job))
     return failures->has_survivor;
   failures->survivor_searched_at = now;
-  failures->has_survivor = find_survivor(job, now);
+  failures->has_survivor = find_survivor(replica, job);
   return failures->has_survivor;
 }
 
 /* Returns whether the job failed on so many machines, and nowhere else succeeded, that its errors
  * say nothing about any of them. */
-static bool fails_everywhere(struct tmx_job *job, double now) {
-  return job->failures.n_machines >= TMX_FAILED_MACHINES_KEPT && !is_sound(job, now);
+static bool fails_everywhere(const struct tmx_replica *replica, struct tmx_job *job, double now) {
+  return job->failures.n_machines >= TMX_FAILED_MACHINES_KEPT && !is_sound(replica, job, now);
 }
 
 /* Returns whether the job's errors on a machine are evidence against the machine. Unless the job is
  * known to be sound, it is to blame if it failed on more machines than jobs failed on this machine:
  * a mistake in the job then explains more errors than a fault of the machine. */
-static bool counts_against_machine(struct tmx_job *job, uint32_t failed_jobs, double now) {
-  if (is_sound(job, now)) return true;
-  return !fails_everywhere(job, now) && job->failures.n_machines <= failed_jobs;
+static bool counts_against_machine(const struct tmx_replica *replica, struct tmx_job *job,
+                                   uint32_t failed_jobs, double now) {
+  if (is_sound(replica, job, now)) return true;
+  return !fails_everywhere(replica, job, now) && job->failures.n_machines <= failed_jobs;
 }
 
 /* Returns whether the errors of this job alone show that the machine is faulty: the job is known to
  * be sound, and failed on few machines. A job of which some tasks fail anywhere fails on many. */
-static bool condemns_alone(const struct tmx_job_errors *record, double now) {
-  return record->count >= TMX_FAULTY_MACHINE_ERRORS && is_sound(record->job, now) &&
+static bool condemns_alone(const struct tmx_replica *replica, const struct tmx_job_errors *record,
+                           double now) {
+  return record->count >= TMX_FAULTY_MACHINE_ERRORS && is_sound(replica, record->job, now) &&
          record->job->failures.n_machines < TMX_FAILED_MACHINES_KEPT;
 }
 
@@ -89,27 +99,29 @@
   float last_at;   /* when the last of the errors occurred, monotonic clock, seconds */
 };
 
-static void add_to_evidence(struct evidence *evidence, const struct tmx_job_errors *record,
-                            double now) {
+static void add_to_evidence(const struct tmx_replica *replica, struct evidence *evidence,
+                            const struct tmx_job_errors *record, double now) {
   evidence->errors += record->count;
   evidence->jobs++;
-  evidence->conclusive |= condemns_alone(record, now);
+  evidence->conclusive |= condemns_alone(replica, record, now);
   if (record->last_at > evidence->last_at) evidence->last_at = record->last_at;
 }
 
-static struct evidence collect_evidence(const struct tmx_machine *machine, double now) {
+static struct evidence collect_evidence(const struct tmx_replica *replica,
+                                        const struct tmx_machine *machine, double now) {
   struct evidence evidence = {0};
   uint32_t failed_jobs = 0;
   for (size_t i = 0; i < machine->n_errors; i++)
-    failed_jobs += !fails_everywhere(machine->errors[i].job, now);
+    failed_jobs += !fails_everywhere(replica, machine->errors[i].job, now);
   for (size_t i = 0; i < machine->n_errors; i++)
-    if (counts_against_machine(machine->errors[i].job, failed_jobs, now))
-      add_to_evidence(&evidence, &machine->errors[i], now);
+    if (counts_against_machine(replica, machine->errors[i].job, failed_jobs, now))
+      add_to_evidence(replica, &evidence, &machine->errors[i], now);
   return evidence;
 }
 
-static enum tmx_machine_condition decide_condition(const struct tmx_machine *machine, double now) {
-  const struct evidence evidence = collect_evidence(machine, now);
+static enum tmx_machine_condition decide_condition(const struct tmx_replica *replica,
+                                                   const struct tmx_machine *machine, double now) {
+  const struct evidence evidence = collect_evidence(replica, machine, now);
   if (!evidence.conclusive &&
       (evidence.errors < TMX_FAULTY_MACHINE_ERRORS || evidence.jobs < TMX_FAULTY_MACHINE_JOBS))
     return TMX_MACHINE_SOUND;
@@ -148,20 +160,17 @@
 
 /* A task that was placed after errors and outlasts them is a success, like a completed one.
  * Replicas of services never complete. */
-static void clear_survived_errors(struct tmx_machine *machine, double now) {
+static void clear_survived_errors(const struct tmx_replica *replica, struct tmx_machine *machine) {
   if (!machine->n_errors) return;
-  for (const struct tmx_task *task = machine->tasks; task; task = task->next) {
-    const double survival_s = task->job->failures.longest_s + TMX_TASK_SURVIVAL_S;
-    if (task->stop_mode || task->job->outcome || now - task->placed_at < survival_s) continue;
+  for (const struct tmx_task *task = machine->tasks; task; task = task->next)
     /* All tasks placed and errors recorded while the replica was loaded have the same time. */
-    clear_errors_until(machine, nextafterf(task->placed_at, 0));
-  }
+    if (has_survived(replica, task)) clear_errors_until(machine, nextafterf(task->placed_at, 0));
 }
 
 void tmx_machine_faults_update(struct tmx_replica *replica, struct tmx_machine *machine,
                                double now) {
-  clear_survived_errors(machine, now);
-  const enum tmx_machine_condition condition = decide_condition(machine, now);
+  clear_survived_errors(replica, machine);
+  const enum tmx_machine_condition condition = decide_condition(replica, machine, now);
   if (condition == machine->condition) return;
   if (machine->condition == TMX_MACHINE_SOUND) machine->suspect_since = now;
   machine->condition = condition;
--- a/tests/test_faulty_machines.c
+++ b/tests/test_faulty_machines.c
@@ -28,27 +28,40 @@
   return !strncmp(task->task, job, length) && task->task[length] == '/';
 }
 
+/* Returns false if the task was not running. */
+static bool fail_task(struct fake_reported_task *task) {
+  if (strcmp(task->state, WV_RUNNING)) return false;
+  snprintf(task->state, sizeof task->state, WV_EXITED);
+  snprintf(task->reason, sizeof task->reason, WV_ERROR);
+  return true;
+}
+
+static void count_error(const struct fake_worker *machine, size_t job) {
+  for (size_t k = 0; k < machine_count(); k++) errors[k][job] += machines[k] == machine;
+}
+
 static void fail_mistaken_tasks(struct fake_worker *machine,
                                 const struct fake_command_request *request) {
   (void)request;
   for (size_t i = 0; i < machine->n_tasks; i++)
-    for (size_t j = 0; j < MISTAKES; j++) {
-      struct fake_reported_task *task = &machine->tasks[i];
-      if (!belongs_to(task, mistaken_jobs[j]) || strcmp(task->state, WV_RUNNING)) continue;
-      snprintf(task->state, sizeof task->state, WV_EXITED);
-      snprintf(task->reason, sizeof task->reason, WV_ERROR);
-      for (size_t k = 0; k < machine_count(); k++) errors[k][j] += machines[k] == machine;
-    }
+    for (size_t j = 0; j < MISTAKES; j++)
+      if (belongs_to(&machine->tasks[i], mistaken_jobs[j]) && fail_task(&machine->tasks[i]))
+        count_error(machine, j);
 }
 
 static void fail_all_new_tasks(struct fake_worker *machine,
                                const struct fake_command_request *request) {
   (void)request;
-  for (size_t i = 0; i < machine->n_tasks; i++) {
-    if (strcmp(machine->tasks[i].state, WV_RUNNING)) continue;
-    snprintf(machine->tasks[i].state, sizeof machine->tasks[i].state, WV_EXITED);
-    snprintf(machine->tasks[i].reason, sizeof machine->tasks[i].reason, WV_ERROR);
-  }
+  for (size_t i = 0; i < machine->n_tasks; i++) fail_task(&machine->tasks[i]);
+}
+
+/* Fails the tasks of jobs wk-000400 to wk-000499. */
+static void fail_single_tasks(struct fake_worker *machine,
+                              const struct fake_command_request *request) {
+  (void)request;
+  for (size_t i = 0; i < machine->n_tasks; i++)
+    if (!strncmp(machine->tasks[i].task, "wk-0004", strlen("wk-0004")))
+      fail_task(&machine->tasks[i]);
 }
 
 static void send_heartbeat(struct fake_worker *machine) {
@@ -124,13 +137,17 @@
   assert_true(run_cluster_until(each_machine_has_a_replica, 20));
 }
 
-/* Submits two arrays that fail on all machines, and cancels them when they have failed everywhere.
- */
-static void let_two_mistakes_fail(void) {
+/* Submits two arrays that fail on all machines, and waits until they have failed everywhere. */
+static void submit_two_mistakes(void) {
   for (size_t j = 0; j < MISTAKES; j++)
     submit_simple_job(first_controller, mistaken_jobs[j], "batch",
                       (uint32_t)n_machines * TASKS_FOR_MACHINE, 2, "t");
   assert_true(run_cluster_until(both_jobs_failed_on_each_machine, 60));
+}
+
+/* The same; then cancels the two arrays. */
+static void let_two_mistakes_fail(void) {
+  submit_two_mistakes();
   for (size_t j = 0; j < MISTAKES; j++)
     assert_int_equal(cancel_job(first_controller, mistaken_jobs[j]).status, 200);
   run_cluster_until(never, 2);
@@ -213,12 +230,41 @@
   assert_int_equal(fake_cloud.deletions, 1);
 }
 
+/* Users may leave a job with a mistake as it is. It then fails again after each backoff. */
+static void later_jobs_start_beside_mistakes_that_stay(void **state) {
+  (void)state;
+  place_a_replica_on_each_machine();
+  submit_two_mistakes();
+  submit_later_jobs();
+  assert_true(run_cluster_until(later_jobs_run, WAIT_MAX_S));
+}
+
+/* More jobs of one task fail than there are machines, so that the machines seem to be at fault.
+ * They are kept, and later jobs start when the quarantine ends. */
+static void later_jobs_start_beside_many_mistakes_of_one_task(void **state) {
+  (void)state;
+  for (size_t i = 0; i < machine_count(); i++) machines[i]->on_command = fail_single_tasks;
+  for (unsigned j = 0; j < 8; j++) {
+    char id[TMX_ID_BYTES];
+    snprintf(id, sizeof id, "wk-%06u", 400 + j);
+    submit_simple_job(first_controller, id, "batch", 1, 2, "t");
+  }
+  run_cluster_until(never, 30);
+  submit_later_jobs();
+  assert_true(run_cluster_until(later_jobs_run, WAIT_MAX_S));
+  assert_int_equal(fake_cloud.deletions, 0);
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test_setup_teardown(later_jobs_start_after_two_mistakes, setup_three_machines,
                                       teardown_controllers),
       cmocka_unit_test_setup_teardown(later_jobs_start_after_a_leader_change, setup_three_machines,
                                       teardown_controllers),
+      cmocka_unit_test_setup_teardown(later_jobs_start_beside_mistakes_that_stay,
+                                      setup_three_machines, teardown_controllers),
+      cmocka_unit_test_setup_teardown(later_jobs_start_beside_many_mistakes_of_one_task,
+                                      setup_three_machines, teardown_controllers),
       cmocka_unit_test_setup_teardown(the_only_machine_is_tried_again, setup_one_machine,
                                       teardown_controllers),
       cmocka_unit_test_setup_teardown(a_faulty_machine_is_replaced_while_jobs_wait,
--- a/tests/test_machine_faults.c
+++ b/tests/test_machine_faults.c
@@ -66,8 +66,24 @@
   for (int i = 1; i <= MACHINES; i++) put_line("m n-%d 127.0.0.1:%d big a 0 0", i, i);
   return 0;
 }
+static struct tmx_machine *machine(int number) {
+  char id[TMX_ID_BYTES];
+  snprintf(id, sizeof id, "n-%d", number);
+  return tmx_machine_find(&replica, id);
+}
+
+static void set_all_usable(bool usable) {
+  for (int i = 1; i <= MACHINES; i++) machine(i)->usable = usable;
+}
+
+static void advance(double seconds) {
+  replica.now += seconds;
+  replica.fresh_as_of = replica.now;
+}
+
 static int setup(void **state) {
   setup_unloaded(state);
+  set_all_usable(true);
   replica.loaded = true;
   return 0;
 }
@@ -77,12 +93,6 @@
   return 0;
 }
 
-static struct tmx_machine *machine(int number) {
-  char id[TMX_ID_BYTES];
-  snprintf(id, sizeof id, "n-%d", number);
-  return tmx_machine_find(&replica, id);
-}
-
 /* Runs `count` attempts of the job on the machine, all of which end like this. */
 static void run_attempts(int job, int on_machine, uint32_t count, char end) {
   for (uint32_t i = 0; i < count; i++) {
@@ -199,13 +209,27 @@
     place_on(job, 1, 8);
     for (int i = 1; i <= 5; i++) fail_on(job, i, 2);
   }
-  replica.now += TMX_TASK_SURVIVAL_S - 1;
+  advance(TMX_TASK_SURVIVAL_S - 1);
   assert_int_equal(count_faulty(), 0);
-  replica.now += 2;
+  advance(2);
   assert_int_equal(count_faulty(), 5);
   assert_int_equal(machine(8)->condition, TMX_MACHINE_SOUND);
 }
 
+/* Tasks whose end may be unknown, as their machine hangs or the store is out, are no survivors. */
+static void a_task_that_cannot_be_observed_is_no_survivor(void **state) {
+  (void)state;
+  for (int job = 1; job <= 2; job++) {
+    for (int i = 1; i <= 5; i++) fail_on(job, i, 2);
+    place_on(job, 1, 8);
+  }
+  replica.now += 2 * TMX_TASK_SURVIVAL_S; /* the store is out */
+  assert_int_equal(count_faulty(), 0);
+  set_all_usable(false);
+  advance(2);
+  assert_int_equal(count_faulty(), 0);
+}
+
 /* A task that waits long for its image and then fails has not survived. */
 static void a_task_that_fails_late_is_no_survivor(void **state) {
   (void)state;
@@ -213,11 +237,11 @@
     for (int i = 1; i <= 4; i++) fail_on(job, i, 2);
     place_on(job, 5, 5);
   }
-  replica.now += TMX_TASK_SURVIVAL_S - 1;
+  advance(TMX_TASK_SURVIVAL_S - 1);
   put_line("e wk-1/5 %u e", attempt - 9);
   put_line("e wk-2/5 %u e", attempt);
   for (int job = 1; job <= 2; job++) place_on(job, 6, 6);
-  replica.now += TMX_TASK_SURVIVAL_S + 1;
+  advance(TMX_TASK_SURVIVAL_S + 1);
   assert_int_equal(count_faulty(), 0);
 }
 
@@ -245,18 +269,18 @@
   (void)state;
   place_on(3, 1, 1);
   uint32_t early_attempt = attempt;
-  replica.now += 10;
+  advance(10);
   fail_on(1, 1, 4);
   put_line("e wk-3/1 %u d", early_attempt);
   fail_on(2, 1, 1);
   assert_int_equal(machine(1)->condition, TMX_MACHINE_FAULTY);
-  replica.now += 10;
+  advance(10);
   complete_on(3, 1);
   assert_int_equal(machine(1)->condition, TMX_MACHINE_SOUND);
 }
 
 static enum tmx_machine_condition condition_after(double seconds) {
-  replica.now += seconds;
+  advance(seconds);
   tmx_machine_faults_update(&replica, machine(1), replica.now);
   return machine(1)->condition;
 }
@@ -282,7 +306,7 @@
   for (int i = 2; i <= 6; i++) fail_on(3, i, 1);
   fail_on(1, 1, 2);
   fail_on(2, 1, 2);
-  replica.now += TMX_FAULTY_MACHINE_QUARANTINE_S - 1;
+  advance(TMX_FAULTY_MACHINE_QUARANTINE_S - 1);
   fail_on(3, 1, 5);
   assert_int_equal(condition_after(2), TMX_MACHINE_ON_PROBATION);
 }
@@ -291,7 +315,7 @@
 static void a_task_that_survives_clears_its_machine(void **state) {
   (void)state;
   place_on(4, 1, 1);
-  replica.now += 1;
+  advance(1);
   fail_on(1, 1, 2);
   fail_on(2, 1, 2);
   assert_int_equal(condition_after(40), TMX_MACHINE_ON_PROBATION);
@@ -339,6 +363,8 @@
       cmocka_unit_test_setup_teardown(jobs_of_one_task_show_two_faulty_machines, setup, teardown),
       cmocka_unit_test_setup_teardown(a_task_that_survives_shows_several_faulty_machines, setup,
                                       teardown),
+      cmocka_unit_test_setup_teardown(a_task_that_cannot_be_observed_is_no_survivor, setup,
+                                      teardown),
       cmocka_unit_test_setup_teardown(a_task_that_fails_late_is_no_survivor, setup, teardown),
       cmocka_unit_test_setup_teardown(a_success_clears_a_machine, setup, teardown),
       cmocka_unit_test_setup_teardown(tasks_started_before_the_errors_clear_nothing, setup,
