Heartbeats: one deadline for a missing one, in place of two copies

The time without a heartbeat after which one is missing stood in the worker module and in the replacement policy. It is a function of the settings now, and its factor a named constant. The planner's list of machines on which a job failed has the length of the replica's by name.

--- a/include/tmx/constants/workers.h
+++ b/include/tmx/constants/workers.h
@@ -51,7 +51,9 @@
 #define TMX_FAILOVER_REPORT_WAIT_S 0.6
 /** Seconds between two views of one controller at least. */
 #define TMX_VIEW_SPACING_MIN_S 0.15
-/** Seconds beyond 1.25 times report_s after which a report is missing. */
+/** Longest time between two reports of a worker, as a multiple of report_s. */
+#define TMX_REPORT_PERIOD_MAX_SHARE 1.25
+/** Seconds beyond that time after which a report is missing. */
 #define TMX_REPORT_LATE_MARGIN_S 1.0
 /** Seconds without proof that a machine can be reached, after which it is probed. */
 #define TMX_PROBE_AFTER_S 0.6
--- a/src/cloud/replacement_policy.c
+++ b/src/cloud/replacement_policy.c
@@ -4,9 +4,6 @@
  * to boot. */
 static const double BOOT_GRACE_S = 10;
 
-/* A heartbeat is late after this multiple of report_s, plus TMX_REPORT_LATE_MARGIN_S. */
-static const double HEARTBEAT_TOLERANCE = 1.25;
-
 const char *tmx_deletion_reason_text(enum tmx_deletion_reason reason) {
   switch (reason) {
     case TMX_DELETE_NONE:
@@ -34,7 +31,7 @@
   return (struct tmx_machine_deadlines){
       .no_contact_s = no_contact_s > 0 ? no_contact_s : TMX_MACHINE_CONTACT_TIMEOUT_S,
       .leases_expired_s = settings->cancel_s + settings->lease_s,
-      .heartbeat_late_s = settings->report_s * HEARTBEAT_TOLERANCE + TMX_REPORT_LATE_MARGIN_S,
+      .heartbeat_late_s = tmx_heartbeat_timeout(settings),
       .unacknowledged_s = settings->lease_s * TMX_UNACKNOWLEDGED_LEASES};
 }
 
--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -28,6 +28,10 @@
   return user_and_worker_sockets(settings) - tmx_worker_sockets_max(settings);
 }
 
+double tmx_heartbeat_timeout(const struct tmx_settings *settings) {
+  return settings->report_s * TMX_REPORT_PERIOD_MAX_SHARE + TMX_REPORT_LATE_MARGIN_S;
+}
+
 size_t tmx_value_json_length_max(const struct tmx_settings *settings) {
   return (size_t)(settings->value_kb * 1024 * TMX_VALUE_USED_SHARE) - TMX_JSON_OVERHEAD_BYTES;
 }
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -139,6 +139,8 @@
  *  after that read is unknown here; with this limit every renewed lease still expires within
  *  `cancel_s` after the cancellation. */
 double tmx_renewal_replica_age_max(const struct tmx_settings *settings);
+/** Returns the seconds without a heartbeat after which a heartbeat of a worker is missing. */
+double tmx_heartbeat_timeout(const struct tmx_settings *settings);
 /** Returns the maximum length in bytes, counted as JSON, of the contents of one value of the store.
  *  The margins TMX_VALUE_USED_SHARE and TMX_JSON_OVERHEAD_BYTES are already deducted. */
 size_t tmx_value_json_length_max(const struct tmx_settings *settings);
--- a/src/planner/placement_cost.c
+++ b/src/planner/placement_cost.c
@@ -78,8 +78,7 @@
 
 static bool failed_recently_on(const struct planner_job *job,
                                const struct planner_machine *machine) {
-  const size_t count = sizeof job->record.failed_machines / sizeof job->record.failed_machines[0];
-  for (size_t i = 0; i < count; i++) {
+  for (size_t i = 0; i < TMX_FAILED_MACHINES_KEPT; i++) {
     const char *failed = job->record.failed_machines[i];
     if (failed[0] && !strcmp(failed, machine->record.id)) return true;
   }
--- a/src/planner/planner_delta.h
+++ b/src/planner/planner_delta.h
@@ -85,7 +85,8 @@
   struct tmx_plan_waiting_task *waiting;  /**< first waiting tasks; the planner takes it over */
   size_t n_waiting;                       /**< entries of `waiting` */
   uint32_t placed_in_zone[TMX_ZONES_MAX]; /**< placed tasks by zone */
-  char failed_machines[4][TMX_ID_BYTES];  /**< where its tasks failed recently; unused: "" */
+  char failed_machines[TMX_FAILED_MACHINES_KEPT]
+                      [TMX_ID_BYTES]; /**< where its tasks failed recently; unused: "" */
 };
 
 /**
--- a/src/worker/machine_health.c
+++ b/src/worker/machine_health.c
@@ -13,10 +13,6 @@
 #include "worker/worker_connection.h"
 #include "worker/worker_table.h"
 
-double tmx_worker_contact_timeout(const struct tmx_settings *settings) {
-  return settings->report_s * 1.25 + TMX_REPORT_LATE_MARGIN_S;
-}
-
 double tmx_worker_heartbeat_age(const struct tmx_worker *worker, double now) {
   return now - fmax(worker->liveness.heartbeat_at, worker->ownership.since);
 }
@@ -76,7 +72,7 @@
 static bool check_own_machine(struct tmx_worker *worker, struct health_check *check) {
   const struct tmx_settings *settings = worker->workers->settings;
   struct tmx_reachability *reachability = &check->reachability;
-  double limit = tmx_worker_contact_timeout(settings);
+  double limit = tmx_heartbeat_timeout(settings);
   tmx_worker_update_ownership(worker);
   count_zone_liveness(worker, check->now);
   reachability->owned++;
--- a/src/worker/machine_health.h
+++ b/src/worker/machine_health.h
@@ -7,8 +7,6 @@
 #define TMX_MACHINE_HEALTH_H
 #include "worker/workers_internal.h"
 
-/** Seconds without a sign of life after which a heartbeat counts as missing. */
-double tmx_worker_contact_timeout(const struct tmx_settings *settings);
 /** Seconds since the latest heartbeat that arrived here, or since this controller became the owner
  * if that is later. Only heartbeats renew the worker's lease. */
 double tmx_worker_heartbeat_age(const struct tmx_worker *worker, double now);
--- a/src/worker/report_intake.c
+++ b/src/worker/report_intake.c
@@ -141,7 +141,7 @@
   struct tmx_worker_liveness *liveness = &worker->liveness;
   double now = tmx_clock_steady();
   if (now - fmax(liveness->heartbeat_at, liveness->acknowledged_at) >
-      tmx_worker_contact_timeout(workers->settings))
+      tmx_heartbeat_timeout(workers->settings))
     liveness->recovered_at = now;
   worker->report.session = parsed->session;
   worker->report.sequence = parsed->sequence;
--- a/src/worker/suspicions.c
+++ b/src/worker/suspicions.c
@@ -44,7 +44,7 @@
   memcpy(suspicion->id, worker->id, sizeof suspicion->id);
   return suspicion->consecutive_probes_lost || suspicion->unacknowledged_s > 0 ||
          suspicion->spot_notice ||
-         suspicion->no_contact_s > tmx_worker_contact_timeout(worker->workers->settings);
+         suspicion->no_contact_s > tmx_heartbeat_timeout(worker->workers->settings);
 }
 
 void tmx_workers_for_each_suspicion(struct tmx_workers *workers, tmx_suspicion_cb callback,
--- a/src/worker/workers_internal.h
+++ b/src/worker/workers_internal.h
@@ -49,7 +49,7 @@
   double acknowledged_at; /**< latest proof that the worker receives what this controller sends: a
                                response, or a token of this controller; 0: never */
   double recovered_at;    /**< first sign of life after a time without contact that exceeded
-                             tmx_worker_contact_timeout() */
+                             tmx_heartbeat_timeout() */
 };
 
 /** Versions of the report and of the log that were last compared. Written by reconciliation.c;
