Tests: one replica fixture in place of three copies

Three test programs set up the same settings and applied keys and lines in the same way. No test and no assertion changed: 12, 11 and 18 tests before and after.

--- a/tests/test_job_dependencies.c
+++ b/tests/test_job_dependencies.c
@@ -1,5 +1,6 @@
 /* Dependencies between jobs in a replica: the state of a job determines that of its dependents,
  * whether the replica follows the log, loads it or reads compacted keys. */
+#include "replica_fixture.h"
 #include "test.h"
 
 #include <math.h>
@@ -12,19 +13,12 @@
 #include "replica/operation_check.h"
 #include "replica/replica.h"
 
-static struct tmx_settings settings;
-static struct tmx_replica replica;
 static uint64_t revision;
 
 static int setup(void **state) {
   (void)state;
-  memset(&settings, 0, sizeof settings);
-  strcpy(settings.zones[0], "a");
-  settings.n_zones = 1;
-  strcpy(settings.teams[0].name, "t");
-  settings.n_teams = 1;
   revision = 0;
-  tmx_replica_init(&replica, &settings);
+  replica_fixture_init();
   replica.loaded = true;
   return 0;
 }
@@ -36,11 +30,7 @@
 }
 
 static void apply(const char *key, struct tmx_buffer *buffer) {
-  cbor_item_t *value = tmx_cbor_parse(buffer->data, buffer->length);
-  assert_non_null(value);
-  tmx_replica_apply(&replica, key, ++revision, value);
-  tmx_cbor_free(value);
-  tmx_buffer_free(buffer);
+  replica_fixture_apply(key, ++revision, buffer);
 }
 
 static struct tmx_job_spec plain_spec(void) {
--- a/tests/test_machine_faults.c
+++ b/tests/test_machine_faults.c
@@ -1,4 +1,5 @@
 /* Decides from the log whether an error is the fault of the machine or of the job. */
+#include "replica_fixture.h"
 #include "test.h"
 
 #include <stdarg.h>
@@ -8,32 +9,17 @@
 #include "replica/machine_faults.h"
 #include "replica/replica.h"
 
-static struct tmx_settings settings;
-static struct tmx_replica replica;
 static uint64_t version;
 static uint32_t attempt;
 
-static void put(const char *key, struct tmx_buffer *buffer) {
-  cbor_item_t *value = tmx_cbor_parse(buffer->data, buffer->length);
-  assert_non_null(value);
-  tmx_replica_apply(&replica, key, ++version, value);
-  tmx_cbor_free(value);
-  tmx_buffer_free(buffer);
-}
-
 static void put_line(const char *format, ...) {
-  char line[128], key[64];
-  struct tmx_buffer buffer = {0};
+  char line[128], number[16];
   va_list arguments;
   va_start(arguments, format);
   vsnprintf(line, sizeof line, format, arguments);
   va_end(arguments);
-  tmx_cbor_put_map(&buffer, 1);
-  tmx_cbor_put_text(&buffer, "ops");
-  tmx_cbor_put_array(&buffer, 1);
-  tmx_cbor_put_text(&buffer, line);
-  snprintf(key, sizeof key, TMX_KEY_BATCH "h/%06u", (unsigned)version);
-  put(key, &buffer);
+  snprintf(number, sizeof number, "%06u", (unsigned)++version);
+  replica_fixture_apply_line(number, version, line);
 }
 
 static void put_job(int job) {
@@ -46,19 +32,14 @@
   snprintf(id, sizeof id, "wk-%d", job);
   snprintf(key, sizeof key, TMX_KEY_JOB "%s", id);
   tmx_job_encode(&buffer, id, &spec, 5, TMX_JOB_OPEN);
-  put(key, &buffer);
+  replica_fixture_apply(key, ++version, &buffer);
 }
 
 enum { MACHINES = 8, JOBS = 8 };
 
 static int setup_unloaded(void **state) {
   (void)state;
-  memset(&settings, 0, sizeof settings);
-  strcpy(settings.zones[0], "a");
-  settings.n_zones = 1;
-  strcpy(settings.teams[0].name, "t");
-  settings.n_teams = 1;
-  tmx_replica_init(&replica, &settings);
+  replica_fixture_init();
   version = 0;
   attempt = 0;
   replica.now = 1000;
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -1,5 +1,6 @@
 /* Tests the state that the replica derives from the log, from pages that are read at different
  * revisions, and from views. */
+#include "replica_fixture.h"
 #include "test.h"
 
 #include <math.h>
@@ -10,17 +11,9 @@
 #include "replica/operation_check.h"
 #include "replica/replica.h"
 
-static struct tmx_settings settings;
-static struct tmx_replica replica;
-
 static int setup(void **state) {
   (void)state;
-  memset(&settings, 0, sizeof settings);
-  strcpy(settings.zones[0], "a");
-  settings.n_zones = 1;
-  strcpy(settings.teams[0].name, "t");
-  settings.n_teams = 1;
-  tmx_replica_init(&replica, &settings);
+  replica_fixture_init();
   return 0;
 }
 /* Compares the running totals with totals computed from all entries, after every test. The rental
@@ -51,13 +44,6 @@
   return 0;
 }
 
-static void put(const char *key, uint64_t version, struct tmx_buffer *buffer) {
-  cbor_item_t *value = tmx_cbor_parse(buffer->data, buffer->length);
-  assert_non_null(value);
-  tmx_replica_apply(&replica, key, version, value);
-  tmx_cbor_free(value);
-  tmx_buffer_free(buffer);
-}
 static void put_job(uint64_t version, int outcome) {
   struct tmx_job_spec spec = {.tasks = 3, .cpus = 2, .mem_gb = 1, .deadline_s = -1};
   struct tmx_buffer buffer = {0};
@@ -65,25 +51,10 @@
   strcpy(spec.team, "t");
   strcpy(spec.image, "i");
   tmx_job_encode(&buffer, "wk-1", &spec, 5, outcome);
-  put(TMX_KEY_JOB "wk-1", version, &buffer);
+  replica_fixture_apply(TMX_KEY_JOB "wk-1", version, &buffer);
 }
 static void put_machine(uint64_t version) {
-  struct tmx_buffer buffer = {0};
-  tmx_cbor_put_map(&buffer, 1);
-  tmx_cbor_put_text(&buffer, "ops");
-  tmx_cbor_put_array(&buffer, 1);
-  tmx_cbor_put_text(&buffer, "m n-1 127.0.0.1:1 big a 0 0");
-  put(TMX_KEY_BATCH "h/m", version, &buffer);
-}
-static void put_batch(const char *sequence, uint64_t version, const char *line) {
-  struct tmx_buffer buffer = {0};
-  char key[64];
-  tmx_cbor_put_map(&buffer, 1);
-  tmx_cbor_put_text(&buffer, "ops");
-  tmx_cbor_put_array(&buffer, 1);
-  tmx_cbor_put_text(&buffer, line);
-  snprintf(key, sizeof key, TMX_KEY_BATCH "h/%s", sequence);
-  put(key, version, &buffer);
+  replica_fixture_apply_line("m", version, "m n-1 127.0.0.1:1 big a 0 0");
 }
 static struct tmx_task *task(uint32_t i) { return &tmx_job_find(&replica, "wk-1")->tasks[i]; }
 
@@ -92,20 +63,21 @@
   replica.loaded = true;
   put_job(1, 0);
   put_machine(2);
-  put_batch("1", 3, "p wk-1/0 1 n-1");
+  replica_fixture_apply_line("1", 3, "p wk-1/0 1 n-1");
   assert_int_equal(task(0)->state, TMX_TASK_PLACED);
   assert_true(replica.team_usage[0].cpus == 2);
-  put_batch("2", 4, "e wk-1/0 2 d"); /* the end of another attempt is ignored */
+  replica_fixture_apply_line("2", 4, "e wk-1/0 2 d"); /* the end of another attempt is ignored */
   assert_int_equal(task(0)->state, TMX_TASK_PLACED);
-  put_batch("3", 5, "e wk-1/0 1 l");
+  replica_fixture_apply_line("3", 5, "e wk-1/0 1 l");
   assert_int_equal(task(0)->state, TMX_TASK_WAITING);
   assert_int_equal(task(0)->attempt, 1);
-  put_batch("4", 6, "p wk-1/0 1 n-1"); /* an attempt number is never used twice */
+  replica_fixture_apply_line("4", 6, "p wk-1/0 1 n-1"); /* an attempt number is never used twice */
   assert_int_equal(task(0)->state, TMX_TASK_WAITING);
-  put_batch("5", 7, "p wk-1/0 2 n-1");
-  put_batch("6", 8, "e wk-1/0 2 d");
+  replica_fixture_apply_line("5", 7, "p wk-1/0 2 n-1");
+  replica_fixture_apply_line("6", 8, "e wk-1/0 2 d");
   assert_int_equal(task(0)->state, TMX_TASK_DONE);
-  put_batch("7", 9, "p wk-1/0 3 n-1"); /* a task that is done is not placed again */
+  replica_fixture_apply_line("7", 9,
+                             "p wk-1/0 3 n-1"); /* a task that is done is not placed again */
   assert_int_equal(task(0)->state, TMX_TASK_DONE);
   assert_true(replica.team_usage[0].cpus == 0);
 }
@@ -115,9 +87,9 @@
   replica.loaded = true;
   put_job(1, 0);
   put_machine(2);
-  put_batch("1", 3, "p wk-1/0 1 n-1");
-  put_batch("2", 3, "p wk-1/1 1 n-1");
-  put_batch("3", 4, "x n-1");
+  replica_fixture_apply_line("1", 3, "p wk-1/0 1 n-1");
+  replica_fixture_apply_line("2", 3, "p wk-1/1 1 n-1");
+  replica_fixture_apply_line("3", 4, "x n-1");
   assert_int_equal(task(0)->state, TMX_TASK_WAITING);
   assert_int_equal(task(1)->state, TMX_TASK_WAITING);
   assert_int_equal(tmx_job_find(&replica, "wk-1")->n_placed, 0);
@@ -130,11 +102,11 @@
   replica.loaded = true;
   put_job(1, 0);
   put_machine(2);
-  put_batch("1", 3, "p wk-1/0 1 n-1");
+  replica_fixture_apply_line("1", 3, "p wk-1/0 1 n-1");
   put_job(4, TMX_JOB_CANCELLED);
   assert_int_equal(tmx_job_find(&replica, "wk-1")->outcome, TMX_JOB_CANCELLED);
   assert_true(replica.team_usage[0].cpus == 2);
-  put_batch("2", 5, "e wk-1/0 1 s");
+  replica_fixture_apply_line("2", 5, "e wk-1/0 1 s");
   assert_true(replica.team_usage[0].cpus == 0);
 }
 
@@ -144,11 +116,13 @@
   (void)state;
   replica.load_revision = 9;
   put_job(1, 0);
-  put_batch("9", 8, "p wk-1/0 2 n-1"); /* from a page that was read at a later revision */
+  replica_fixture_apply_line("9", 8,
+                             "p wk-1/0 2 n-1"); /* from a page that was read at a later revision */
   put_machine(2);
-  put_batch("1", 3, "p wk-1/0 1 n-1"); /* the events since the first page are delivered again */
-  put_batch("2", 5, "e wk-1/0 1 s");
-  put_batch("9", 8, "p wk-1/0 2 n-1");
+  replica_fixture_apply_line(
+      "1", 3, "p wk-1/0 1 n-1"); /* the events since the first page are delivered again */
+  replica_fixture_apply_line("2", 5, "e wk-1/0 1 s");
+  replica_fixture_apply_line("9", 8, "p wk-1/0 2 n-1");
   tmx_replica_advance_to(&replica, 9);
   assert_true(replica.loaded);
   assert_int_equal(task(0)->state, TMX_TASK_PLACED);
@@ -160,9 +134,11 @@
   (void)state;
   replica.load_revision = 9;
   put_job(1, 0);
-  put_batch("1", 3, "p wk-1/0 1 n-1"); /* the key that registered its machine is gone */
-  put_batch("2", 4, "p wk-1/1 1 n-1");
-  put_batch("3", 5, "e wk-1/1 1 d"); /* this task was done before its machine was lost */
+  replica_fixture_apply_line("1", 3,
+                             "p wk-1/0 1 n-1"); /* the key that registered its machine is gone */
+  replica_fixture_apply_line("2", 4, "p wk-1/1 1 n-1");
+  replica_fixture_apply_line("3", 5,
+                             "e wk-1/1 1 d"); /* this task was done before its machine was lost */
   assert_false(replica.loaded);
   tmx_replica_advance_to(&replica, 9);
   assert_int_equal(task(0)->state, TMX_TASK_WAITING);
@@ -174,7 +150,7 @@
   tmx_cbor_put_map(&buffer, 2);
   tmx_cbor_put_u64_field(&buffer, "mark", point);
   tmx_cbor_put_u64_field(&buffer, "gen", point);
-  put(TMX_KEY_COMPACTION, version, &buffer);
+  replica_fixture_apply(TMX_KEY_COMPACTION, version, &buffer);
 }
 
 /* Log keys are reused after a compaction, in any order. The batches left from before the compaction
@@ -184,10 +160,11 @@
   replica.load_revision = 30;
   put_compaction_point(20, 12);
   put_job(1, 0);
-  put_batch("1", 3, "m n-1 127.0.0.1:1 big a 0 0"); /* its removal, at version 9, was overwritten */
-  put_batch("2", 4, "p wk-1/0 1 n-1");
-  put_batch("3", 25, "m n-2 127.0.0.1:2 big a 0 0");
-  put_batch("4", 26, "p wk-1/1 1 n-2");
+  replica_fixture_apply_line(
+      "1", 3, "m n-1 127.0.0.1:1 big a 0 0"); /* its removal, at version 9, was overwritten */
+  replica_fixture_apply_line("2", 4, "p wk-1/0 1 n-1");
+  replica_fixture_apply_line("3", 25, "m n-2 127.0.0.1:2 big a 0 0");
+  replica_fixture_apply_line("4", 26, "p wk-1/1 1 n-2");
   tmx_replica_advance_to(&replica, 30);
   assert_null(tmx_machine_find(&replica, "n-1"));
   /* The batch with the placement is ignored, and no page holds the number of the attempt. */
@@ -215,8 +192,8 @@
   tmx_buffer_free(&jobs);
   tmx_buffer_free(&lines);
   put_compaction_point(6, 4); /* the key of the compaction point is read first */
-  put(TMX_KEY_PAGE "0000000000000004/00000", 5, &value);
-  put_batch("9", 8, "p wk-1/7 1 n-1");
+  replica_fixture_apply(TMX_KEY_PAGE "0000000000000004/00000", 5, &value);
+  replica_fixture_apply_line("9", 8, "p wk-1/7 1 n-1");
   tmx_replica_advance_to(&replica, 9);
   struct tmx_job *job = tmx_job_find(&replica, "wk-1");
   assert_int_equal(job->n_done, 4);
@@ -247,12 +224,13 @@
   tmx_cbor_put_text(&lines, "m n-1 127.0.0.1:1 big a 0 0");
   tmx_cbor_put_text(&lines, "t wk-1/0 1 1 p n-1");
   tmx_log_value_encode(&value, &jobs, 0, &lines, 2);
-  put(TMX_KEY_PAGE "0000000000000005/00000", 7, &value); /* of the abandoned compaction */
-  put_batch("1", 9, "e wk-1/0 1 d");
+  replica_fixture_apply(TMX_KEY_PAGE "0000000000000005/00000", 7,
+                        &value); /* of the abandoned compaction */
+  replica_fixture_apply_line("1", 9, "e wk-1/0 1 d");
   value.length = lines.length = 0;
   tmx_cbor_put_text(&lines, "m n-1 127.0.0.1:1 big a 0 0");
   tmx_log_value_encode(&value, &jobs, 0, &lines, 1);
-  put(TMX_KEY_PAGE "000000000000000c/00000", 14, &value);
+  replica_fixture_apply(TMX_KEY_PAGE "000000000000000c/00000", 14, &value);
   tmx_buffer_free(&lines);
   tmx_replica_advance_to(&replica, 30);
   assert_true(tmx_machine_find(&replica, "n-1")->registered);
@@ -310,7 +288,8 @@
   assert_true(tmx_operation_check_apply(&check, &place_second));
   /* The first two fill the machine. */
   assert_false(tmx_operation_check_apply(&check, &place_third));
-  put_batch("1", 3, "p wk-1/0 1 n-1"); /* another controller placed the same task first */
+  replica_fixture_apply_line("1", 3,
+                             "p wk-1/0 1 n-1"); /* another controller placed the same task first */
   tmx_operation_check_begin(&check, &replica);
   assert_false(tmx_operation_check_apply(&check, &place_first));
   assert_true(tmx_operation_check_apply(&check, &place_second));
@@ -327,10 +306,10 @@
   assert_true(tmx_operation_check_apply(&check, &place_second));
   tmx_machine_find(&replica, "n-1")->capacity_cpus = 64;
   assert_false(tmx_operation_check_apply(&check, &place_third)); /* exceeds the team's limit */
-  put_batch("2", 4, "d n-1 1");
+  replica_fixture_apply_line("2", 4, "d n-1 1");
   tmx_operation_check_begin(&check, &replica);
   assert_false(tmx_operation_check_apply(&check, &place_second)); /* the machine is draining */
-  put_batch("3", 5, "d n-1 0");
+  replica_fixture_apply_line("3", 5, "d n-1 0");
   put_job(6, TMX_JOB_CANCELLED);
   tmx_operation_check_begin(&check, &replica);
   assert_false(tmx_operation_check_apply(&check, &place_second));
@@ -351,7 +330,7 @@
     view.n_overrides = 1;
   }
   tmx_view_encode(&buffer, &view);
-  put(TMX_KEY_VIEW, version, &buffer);
+  replica_fixture_apply(TMX_KEY_VIEW, version, &buffer);
 }
 
 static void only_machines_of_a_lost_member_change_owner(void **state) {
