Scale-out: a log line for each demand, with what the plan does for it

The debug line of a plan gave sums only. For a job that waits it could not tell whether its demand was missing, fitted into free capacity, was expected to be completed soon by the present machines, or found no offer. Each demand now has one line with its size, zone and decision. No decision changes; test_scale_out_plan passes.

--- a/src/cloud/scale_out.c
+++ b/src/cloud/scale_out.c
@@ -100,8 +100,18 @@
     }
 }
 
-static void log_plan(const struct tmx_demand_list *demand, const struct capacity *capacity,
-                     size_t n_scale_outs) {
+static void log_demand(const struct tmx_settings *settings, const struct tmx_demand *demand) {
+  tmx_log(TMX_LOG_DEBUG,
+          "cloud: scale-out for %u pending tasks of %.1f CPUs, %.1f GPUs and %.1f GB, %.0f s each, "
+          "in %s%s: %s",
+          demand->tasks, demand->spec->cpus, demand->spec->gpus, demand->spec->mem_gb,
+          demand->run_s, demand->zone < 0 ? "any zone" : "zone ",
+          demand->zone < 0 ? "" : settings->zones[demand->zone],
+          tmx_demand_decision_text(demand->decision));
+}
+
+static void log_plan(const struct tmx_settings *settings, const struct tmx_demand_list *demand,
+                     const struct capacity *capacity, size_t n_scale_outs) {
   if (!tmx_log_enabled(TMX_LOG_DEBUG)) return;
   uint32_t tasks = 0;
   double free_cpus = 0;
@@ -111,10 +121,10 @@
       TMX_LOG_DEBUG,
       "cloud: scale-out for %u pending tasks: %.0f free CPUs on %zu machines, %zu offers chosen",
       tasks, free_cpus, capacity->count, n_scale_outs);
+  for (size_t i = 0; i < demand->count; i++) log_demand(settings, &demand->demands[i]);
 }
 
-static void plan_and_rent(struct tmx_cloud *cloud, const struct tmx_demand_list *demand,
-                          double now) {
+static void plan_and_rent(struct tmx_cloud *cloud, struct tmx_demand_list *demand, double now) {
   struct offer_list list;
   struct tmx_scale_out scale_outs[SCALE_OUTS_MAX];
   struct capacity capacity = collect_capacity(cloud);
@@ -127,7 +137,7 @@
                                       .n_provisioned = capacity.count,
                                       .provisioned_cpus = capacity.cpus};
   size_t count = tmx_plan_scale_out(&input, scale_outs, SCALE_OUTS_MAX);
-  log_plan(demand, &capacity, count);
+  log_plan(cloud->settings, demand, &capacity, count);
   sort_largest_first(scale_outs, count, list.offers);
   for (size_t i = 0; i < count; i++) {
     const struct tmx_offer *offer = &list.offers[scale_outs[i].offer];
--- a/src/cloud/scale_out_demand.c
+++ b/src/cloud/scale_out_demand.c
@@ -34,7 +34,8 @@
     }
   }
   list->demands = tmx_grow(list->demands, &list->capacity, list->count + 1, sizeof *list->demands);
-  list->demands[list->count++] = (struct tmx_demand){spec, tasks, zone, run_s};
+  list->demands[list->count++] =
+      (struct tmx_demand){.spec = spec, .tasks = tasks, .zone = zone, .run_s = run_s};
 }
 
 static int zone_of_spec(const struct tmx_settings *settings, const struct tmx_job_spec *spec) {
--- a/src/planner/scale_out_plan.c
+++ b/src/planner/scale_out_plan.c
@@ -18,6 +18,20 @@
 /* Seconds; a boot time of this length doubles the cost of an offer. */
 #define BOOT_PRICE_SCALE_S 200.0
 
+const char *tmx_demand_decision_text(enum tmx_demand_decision decision) {
+  switch (decision) {
+    case TMX_DEMAND_CLEARED_SOON:
+      return "the present machines complete it soon";
+    case TMX_DEMAND_FITS:
+      return "fits into free capacity";
+    case TMX_DEMAND_RENTED:
+      return "machines are rented";
+    case TMX_DEMAND_NO_OFFER:
+      return "no offer is left";
+  }
+  return "";
+}
+
 /* A machine that tasks are packed into. */
 struct bin {
   struct tmx_resources free; /* resources that are not used yet */
@@ -127,8 +141,9 @@
 }
 
 /* Packs tasks of the demand into the bins, and rents machines for the rest. */
-static void pack_demand(struct scale_out_plan *plan, const struct tmx_demand *demand,
-                        uint32_t tasks) {
+static enum tmx_demand_decision pack_demand(struct scale_out_plan *plan,
+                                            const struct tmx_demand *demand, uint32_t tasks) {
+  enum tmx_demand_decision decision = TMX_DEMAND_FITS;
   for (size_t i = 0; i < plan->n_bins && tasks; i++) {
     struct bin *bin = &plan->bins[i];
     if (is_suitable(demand, bin->type, bin->zone, bin->spot))
@@ -136,10 +151,12 @@
   }
   while (tasks && plan->n_bins < plan->cap_bins) {
     int offer = best_offer(plan, demand, tasks);
-    if (offer < 0) return;
+    if (offer < 0) return TMX_DEMAND_NO_OFFER;
     tasks -= fill_bin(add_bin(plan, &plan->offers[offer]), demand->spec, tasks);
-    if (!count_rental(plan, offer)) return;
+    if (!count_rental(plan, offer)) return TMX_DEMAND_NO_OFFER;
+    decision = TMX_DEMAND_RENTED;
   }
+  return tasks ? TMX_DEMAND_NO_OFFER : decision;
 }
 
 /* Returns the expected work of the waiting tasks of job arrays, CPU seconds. */
@@ -188,9 +205,10 @@
   bool cleared_soon =
       input->provisioned_cpus > 0 && backlog / input->provisioned_cpus < TMX_BACKLOG_CLEAR_S;
   for (size_t i = 0; i < input->n_demands; i++) {
-    const struct tmx_demand *demand = &input->demands[i];
-    if (demand->spec->service || !cleared_soon)
-      pack_demand(&plan, demand, tasks_to_provision(demand));
+    struct tmx_demand *demand = &input->demands[i];
+    demand->decision = !demand->spec->service && cleared_soon
+                           ? TMX_DEMAND_CLEARED_SOON
+                           : pack_demand(&plan, demand, tasks_to_provision(demand));
   }
   free(plan.bins);
   return plan.n_rentals;
--- a/src/planner/scale_out_plan.h
+++ b/src/planner/scale_out_plan.h
@@ -11,12 +11,21 @@
 #include "planner/planner.h"
 #include "replica/replica.h"
 
+/** What a plan does for a demand. */
+enum tmx_demand_decision {
+  TMX_DEMAND_CLEARED_SOON, /**< the provisioned machines complete its work soon */
+  TMX_DEMAND_FITS,         /**< its tasks fit into free capacity */
+  TMX_DEMAND_RENTED,       /**< machines are rented for it */
+  TMX_DEMAND_NO_OFFER      /**< more machines are needed, and no offer for them is left */
+};
+
 /** Waiting tasks that found no free capacity, of one job or of several jobs with equal requests. */
 struct tmx_demand {
-  const struct tmx_job_spec *spec; /**< resources that one task requests; borrowed */
-  uint32_t tasks;                  /**< number of waiting tasks */
-  int zone;                        /**< index of the only allowed zone; -1: any zone */
-  double run_s;                    /**< expected run time of one task, s */
+  const struct tmx_job_spec *spec;   /**< resources that one task requests; borrowed */
+  uint32_t tasks;                    /**< number of waiting tasks */
+  int zone;                          /**< index of the only allowed zone; -1: any zone */
+  double run_s;                      /**< expected run time of one task, s */
+  enum tmx_demand_decision decision; /**< written by tmx_plan_scale_out() */
 };
 
 /** Machines of one type and zone, spot or on demand, that may be rented now. */
@@ -43,9 +52,10 @@
   uint32_t count; /**< number of machines to rent */
 };
 
-/** The input of tmx_plan_scale_out(). The caller owns the arrays; they are only read. */
+/** The input of tmx_plan_scale_out(). The caller owns the arrays. They are only read, except
+ * tmx_demand::decision. */
 struct tmx_scale_out_input {
-  const struct tmx_demand *demands;                  /**< waiting tasks */
+  struct tmx_demand *demands;                        /**< waiting tasks */
   size_t n_demands;                                  /**< entries of `demands` */
   const struct tmx_offer *offers;                    /**< machines that may be rented now */
   size_t n_offers;                                   /**< entries of `offers` */
@@ -54,6 +64,9 @@
   double provisioned_cpus; /**< total CPUs, free or not, of all machines that are up or rented */
 };
 
+/** Returns the decision in words, for the log. */
+const char *tmx_demand_decision_text(enum tmx_demand_decision decision);
+
 /**
  * Packs the demands into the free capacity of the provisioned machines. Tasks that do not fit are
  * packed into new machines, each of the offer with the lowest price per task, weighted by the boot
--- a/tests/test_scale_out_plan.c
+++ b/tests/test_scale_out_plan.c
@@ -15,7 +15,7 @@
   struct tmx_machine_type big = {
       .name = "big", .cpus = 16, .mem_gb = 64, .price = 1.0, .boot_s = 30};
   struct tmx_job_spec spec = {.service = true, .tasks = 1, .cpus = 2, .mem_gb = 4};
-  struct tmx_demand demand = {&spec, 1, -1, 0};
+  struct tmx_demand demand = {.spec = &spec, .tasks = 1, .zone = -1};
   struct tmx_offer offers[2] = {{&small, 0, false, 0.2}, {&big, 0, false, 1.0}};
   struct tmx_scale_out choices[4];
   struct tmx_scale_out_input input = {
