Scale-out: waiting work is judged by the machines that can hold it

Callers saw an accepted array stay "pending" for ever.

Cause: one quotient decided for all arrays. The waiting work of all arrays, divided by the CPUs of all machines, was below TMX_BACKLOG_CLEAR_S, so that no array got a machine, although no present machine could hold its tasks. Evidence: debug log of a failing run, 94 times "4 pending tasks: 112 free CPUs on 7 machines, 0 offers chosen"; the demand was there, an offer was there, and the free CPUs were in the other zone. The quotient is the same every second, so the wait does not end.

Change: planner/clearance.c spreads the work of each demand over the machines that can hold one of its tasks by zone, type, size and kind, in the resources that services leave to arrays, and asks whether these machines have that much time left. The replica now sums GPUs and memory of services per machine, as it did CPUs. The estimate cannot know when long tasks end. So a demand of which no task was placed for TMX_BACKLOG_CLEAR_S is overdue, and the estimate no longer holds it back. Time in which the job waits for its backoff, or in which this controller did not lead, does not count.

Why it works: the old rule is the special case in which all machines can hold all tasks. In every other case the work of a task counts only where it can run, and a wrong estimate is corrected by the wait itself.

--- a/src/cloud/scale_out.c
+++ b/src/cloud/scale_out.c
@@ -14,12 +14,10 @@
   size_t count;
 };
 
-/* Free capacity of machines that are up and of instances that are expected to come up, and the CPUs
- * of all these machines. */
+/* Machines that count as capacity: those that are up and instances that are expected to come up. */
 struct capacity {
-  struct tmx_provisioned_machine *entries;
+  struct tmx_provisioned_machine *machines;
   size_t count;
-  double cpus;
 };
 
 static void add_machines(const struct tmx_cloud *cloud, struct capacity *capacity) {
@@ -27,16 +25,17 @@
   HASH_ITER(hh, cloud->replica->machines, machine, next_machine) {
     const struct tmx_machine_type *type = tmx_machine_catalog_find(cloud->catalog, machine->type);
     if (!type || !tmx_machine_is_capacity(machine)) continue;
-    capacity->cpus += type->cpus;
-    if (machine->usable && type->cpus > machine->booked_cpus &&
-        type->mem_gb > machine->booked_mem_gb)
-      capacity->entries[capacity->count++] =
-          (struct tmx_provisioned_machine){.type = type,
-                                           .zone = machine->zone,
-                                           .spot = machine->spot,
-                                           .cpus = type->cpus - machine->booked_cpus,
-                                           .gpus = type->gpus - machine->booked_gpus,
-                                           .mem_gb = type->mem_gb - machine->booked_mem_gb};
+    const struct tmx_resources size = tmx_resources_of_type(type);
+    const struct tmx_resources booked = {machine->booked_cpus, machine->booked_gpus,
+                                         machine->booked_mem_gb};
+    const struct tmx_resources services = {machine->service_cpus, machine->service_gpus,
+                                           machine->service_mem_gb};
+    struct tmx_provisioned_machine *added = &capacity->machines[capacity->count++];
+    *added = (struct tmx_provisioned_machine){.type = type,
+                                              .zone = machine->zone,
+                                              .spot = machine->spot,
+                                              .for_arrays = tmx_resources_subtract(size, services)};
+    if (machine->usable) added->free = tmx_resources_subtract(size, booked);
   }
 }
 
@@ -48,20 +47,19 @@
     if (!type || instance->state == TMX_INSTANCE_FAILED || instance->deleting ||
         (machine && machine->registered))
       continue;
-    capacity->cpus += type->cpus;
-    capacity->entries[capacity->count++] = (struct tmx_provisioned_machine){.type = type,
-                                                                            .zone = instance->zone,
-                                                                            .spot = instance->spot,
-                                                                            .cpus = type->cpus,
-                                                                            .gpus = type->gpus,
-                                                                            .mem_gb = type->mem_gb};
+    capacity->machines[capacity->count++] =
+        (struct tmx_provisioned_machine){.type = type,
+                                         .zone = instance->zone,
+                                         .spot = instance->spot,
+                                         .free = tmx_resources_of_type(type),
+                                         .for_arrays = tmx_resources_of_type(type)};
   }
 }
 
 static struct capacity collect_capacity(const struct tmx_cloud *cloud) {
-  size_t max_entries =
+  size_t max_machines =
       HASH_COUNT(cloud->replica->machines) + HASH_COUNT(cloud->inventory.instances) + 1;
-  struct capacity capacity = {.entries = tmx_allocate(max_entries, sizeof *capacity.entries)};
+  struct capacity capacity = {.machines = tmx_allocate(max_machines, sizeof *capacity.machines)};
   add_machines(cloud, &capacity);
   add_pending_instances(cloud, &capacity);
   return capacity;
@@ -116,7 +114,7 @@
   uint32_t tasks = 0;
   double free_cpus = 0;
   for (size_t i = 0; i < demand->count; i++) tasks += demand->demands[i].tasks;
-  for (size_t i = 0; i < capacity->count; i++) free_cpus += capacity->entries[i].cpus;
+  for (size_t i = 0; i < capacity->count; i++) free_cpus += capacity->machines[i].free.cpus;
   tmx_log(
       TMX_LOG_DEBUG,
       "cloud: scale-out for %u pending tasks: %.0f free CPUs on %zu machines, %zu offers chosen",
@@ -133,9 +131,8 @@
                                       .n_demands = demand->count,
                                       .offers = list.offers,
                                       .n_offers = list.count,
-                                      .provisioned = capacity.entries,
-                                      .n_provisioned = capacity.count,
-                                      .provisioned_cpus = capacity.cpus};
+                                      .provisioned = capacity.machines,
+                                      .n_provisioned = capacity.count};
   size_t count = tmx_plan_scale_out(&input, scale_outs, SCALE_OUTS_MAX);
   log_plan(cloud->settings, demand, &capacity, count);
   sort_largest_first(scale_outs, count, list.offers);
@@ -143,12 +140,16 @@
     const struct tmx_offer *offer = &list.offers[scale_outs[i].offer];
     tmx_cloud_rent(cloud, offer->type, offer->zone, offer->spot, scale_outs[i].count);
   }
-  free(capacity.entries);
+  free(capacity.machines);
 }
 
 void tmx_cloud_scale_out(struct tmx_cloud *cloud, double now) {
   struct tmx_demand_list demand = {0};
-  tmx_demand_list_collect(&demand, cloud->settings, cloud->replica, now);
+  const struct tmx_demand_source source = {.settings = cloud->settings,
+                                           .replica = cloud->replica,
+                                           .leading_since = cloud->leading_since,
+                                           .now = now};
+  tmx_demand_list_collect(&demand, &source);
   if (demand.count) plan_and_rent(cloud, &demand, now);
   free(demand.demands);
 }
--- a/src/cloud/scale_out_demand.c
+++ b/src/cloud/scale_out_demand.c
@@ -1,5 +1,6 @@
 #include "cloud/scale_out_demand.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "base/memory.h"
@@ -15,27 +16,30 @@
   return left->service == right->service && left->cpus == right->cpus &&
          left->gpus == right->gpus && left->mem_gb == right->mem_gb &&
          left->spot_allowed == right->spot_allowed && left->n_types == right->n_types &&
-         left->spread == right->spread &&
+         left->spread == right->spread && left->same_zone == right->same_zone &&
          !memcmp(left->types, right->types, left->n_types * sizeof left->types[0]);
 }
 
-/* Adds pending tasks to the list. Tasks with the same requirements, the same zone and a run time
- * within a factor of two are counted as one demand, as the same machines are rented for them.
- * `zone` -1: any. */
-static void add_demand(struct tmx_demand_list *list, const struct tmx_job_spec *spec, int zone,
-                       uint32_t tasks, double run_s) {
-  if (!tasks) return;
+static bool run_times_are_similar(double left_s, double right_s) {
+  return left_s <= 2 * right_s && right_s <= 2 * left_s;
+}
+
+/* Adds pending tasks to the list. Tasks with the same requirements, the same zone and a
+ * run time within a factor of two are counted as one demand, as the same machines are rented for
+ * them. `added` has the job's properties. */
+static void add_demand(struct tmx_demand_list *list, struct tmx_demand added) {
+  if (!added.tasks) return;
   for (size_t i = 0; i < list->count; i++) {
     struct tmx_demand *demand = &list->demands[i];
-    if (demand->zone != zone || !specs_are_equivalent(demand->spec, spec)) continue;
-    if (demand->run_s <= 2 * run_s && run_s <= 2 * demand->run_s) {
-      demand->tasks += tasks;
-      return;
-    }
+    if (demand->zone != added.zone || demand->overdue != added.overdue ||
+        !specs_are_equivalent(demand->spec, added.spec) ||
+        !run_times_are_similar(demand->run_s, added.run_s))
+      continue;
+    demand->tasks += added.tasks;
+    return;
   }
   list->demands = tmx_grow(list->demands, &list->capacity, list->count + 1, sizeof *list->demands);
-  list->demands[list->count++] =
-      (struct tmx_demand){.spec = spec, .tasks = tasks, .zone = zone, .run_s = run_s};
+  list->demands[list->count++] = added;
 }
 
 static int zone_of_spec(const struct tmx_settings *settings, const struct tmx_job_spec *spec) {
@@ -69,19 +73,24 @@
  * demand for each zone. Each replica goes to the zone with the fewest replicas. Replicas
  * that no zone can take without exceeding the cap add no demand. */
 static void add_service_demand(const struct tmx_settings *settings, struct tmx_demand_list *list,
-                               const struct tmx_job *job, uint32_t tasks) {
+                               const struct tmx_job *job, struct tmx_demand demand) {
   const struct tmx_job_spec *spec = &job->spec;
   if (spec->zone[0] || spec->same_zone || settings->n_zones < 2) {
-    add_demand(list, spec, service_zone(settings, job), tasks, 0);
+    demand.zone = service_zone(settings, job);
+    add_demand(list, demand);
     return;
   }
   uint32_t cap = tmx_zone_cap(spec, settings->n_zones), added[TMX_ZONES_MAX] = {0};
-  for (; tasks; tasks--) {
+  for (uint32_t tasks = demand.tasks; tasks; tasks--) {
     size_t zone = zone_with_fewest_replicas(settings, job, added, cap);
     if (zone == settings->n_zones) break;
     added[zone]++;
   }
-  for (size_t z = 0; z < settings->n_zones; z++) add_demand(list, spec, (int)z, added[z], 0);
+  for (size_t z = 0; z < settings->n_zones; z++) {
+    demand.zone = (int)z;
+    demand.tasks = added[z];
+    add_demand(list, demand);
+  }
 }
 
 /* Returns the number of pending tasks of the job, limited by the CPUs that its team has left. */
@@ -102,19 +111,29 @@
   }
 }
 
-void tmx_demand_list_collect(struct tmx_demand_list *list, const struct tmx_settings *settings,
-                             const struct tmx_replica *replica, double now) {
+/* Returns whether the job has waited for longer than scale-out expects present machines to take. A
+ * time in which nobody could place its tasks does not count. */
+static bool is_overdue(const struct tmx_demand_source *source, const struct tmx_job *job) {
+  double since = fmax(job->unplaced_since, fmax(job->retry_at, source->leading_since));
+  return source->now - since > TMX_BACKLOG_CLEAR_S;
+}
+
+void tmx_demand_list_collect(struct tmx_demand_list *list, const struct tmx_demand_source *source) {
+  const struct tmx_settings *settings = source->settings;
   double cpus_left[TMX_TEAMS_MAX];
-  team_cpus_left(settings, replica, cpus_left);
+  team_cpus_left(settings, source->replica, cpus_left);
   struct tmx_job *job, *next_job;
-  HASH_ITER(hh, replica->jobs, job, next_job) {
-    uint32_t tasks = pending_tasks(job, job->team < 0 ? 0 : cpus_left[job->team], now);
-    if (!tasks) continue;
-    cpus_left[job->team] -= tasks * job->spec.cpus;
-    if (job->spec.service)
-      add_service_demand(settings, list, job, tasks);
-    else
-      add_demand(list, &job->spec, zone_of_spec(settings, &job->spec), tasks,
-                 tmx_run_estimate_expected(replica, &job->spec));
+  HASH_ITER(hh, source->replica->jobs, job, next_job) {
+    struct tmx_demand demand = {.spec = &job->spec, .overdue = is_overdue(source, job)};
+    demand.tasks = pending_tasks(job, job->team < 0 ? 0 : cpus_left[job->team], source->now);
+    if (!demand.tasks) continue;
+    cpus_left[job->team] -= demand.tasks * job->spec.cpus;
+    if (job->spec.service) {
+      add_service_demand(settings, list, job, demand);
+      continue;
+    }
+    demand.zone = zone_of_spec(settings, &job->spec);
+    demand.run_s = tmx_run_estimate_expected(source->replica, &job->spec);
+    add_demand(list, demand);
   }
 }
--- a/src/cloud/scale_out_demand.h
+++ b/src/cloud/scale_out_demand.h
@@ -1,7 +1,7 @@
 /**
  * @file
  * The demand that scale-out plans for: the pending tasks of all jobs, grouped by the resources that
- * they request, by zone and by run time. No I/O.
+ * they request, by zone, by run time and by whether they are overdue. No I/O.
  */
 #ifndef TMX_SCALE_OUT_DEMAND_H
 #define TMX_SCALE_OUT_DEMAND_H
@@ -17,8 +17,14 @@
       capacity;               /**< demands allocated */
 };
 
-/** Adds the tasks that are pending and that their team's CPU limit allows to start. `now`: steady
- * clock, s. */
-void tmx_demand_list_collect(struct tmx_demand_list *list, const struct tmx_settings *settings,
-                             const struct tmx_replica *replica, double now);
+/** What the demand is collected from. */
+struct tmx_demand_source {
+  const struct tmx_settings *settings; /**< zones, teams */
+  const struct tmx_replica *replica;   /**< jobs and their tasks */
+  double leading_since; /**< steady clock, s: this controller has led without a break since then */
+  double now;           /**< steady clock, s */
+};
+
+/** Adds the tasks that are pending and that their team's CPU limit allows to start. */
+void tmx_demand_list_collect(struct tmx_demand_list *list, const struct tmx_demand_source *source);
 #endif
--- a/src/planner/resources.h
+++ b/src/planner/resources.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * Vectors of CPUs, GPUs and memory. Internal to src/planner.
+ * Vectors of CPUs, GPUs and memory.
  *
  * Each function computes the three components separately and combines its arguments in the order
  * given. The result of a sum of doubles depends on the order of the additions, and rounds must be
@@ -8,6 +8,7 @@
  */
 #ifndef TMX_RESOURCES_H
 #define TMX_RESOURCES_H
+#include "catalog/machine_catalog.h"
 #include "planner/planner_delta.h"
 
 /**
@@ -23,6 +24,11 @@
       mem_gb;  /**< memory, GB */
 };
 
+/** Returns the total resources of a machine of this type. */
+static inline struct tmx_resources tmx_resources_of_type(const struct tmx_machine_type *type) {
+  return (struct tmx_resources){type->cpus, type->gpus, type->mem_gb};
+}
+
 /** Returns the resources that one task of the job requests. */
 static inline struct tmx_resources tmx_resources_of_task(const struct tmx_job_spec *spec) {
   return (struct tmx_resources){spec->cpus, spec->gpus, spec->mem_gb};
--- a/src/planner/scale_out_plan.c
+++ b/src/planner/scale_out_plan.c
@@ -1,18 +1,12 @@
 #include "planner/scale_out_plan.h"
 #include "base/memory.h"
-#include "planner/resources.h"
+#include "planner/clearance.h"
+#include "planner/demand_fit.h"
 #include "tmx/constants.h"
 
 #include <math.h>
 #include <stdlib.h>
 
-/* Tolerance, in tasks, of the count of tasks that fit. Rounding errors may put a quotient just
- * below a whole number. */
-#define COUNT_EPSILON 1e-9
-/* Limit on the tasks that count as fitting on one machine, for tasks that request no resources. */
-#define TASKS_PER_MACHINE_MAX 1e6
-/* Lower limit on the expected run time of a task, s. */
-#define RUN_S_MIN 5
 /* Seconds; a job array whose tasks run at least this long gets capacity for all tasks at once. */
 #define FULL_DEMAND_RUN_S 45.0
 /* Seconds; a boot time of this length doubles the cost of an offer. */
@@ -48,36 +42,15 @@
   size_t n_bins, cap_bins;
   struct tmx_scale_out *rentals; /* the result: one entry for each offer of which to rent */
   size_t n_rentals, max_rentals;
+  struct tmx_clearance clearance; /* the work of all arrays */
 };
 
-/* Returns whether a task of the demand may run on such a machine, if the machine is empty. */
-static bool is_suitable(const struct tmx_demand *demand, const struct tmx_machine_type *type,
-                        int zone, bool spot) {
-  const struct tmx_job_spec *spec = demand->spec;
-  return (!spot || spec->spot_allowed) && tmx_type_allowed(spec, type->name) &&
-         spec->cpus <= type->cpus && spec->gpus <= type->gpus && spec->mem_gb <= type->mem_gb &&
-         (demand->zone < 0 || zone == demand->zone);
-}
-
-static struct tmx_resources size_of_type(const struct tmx_machine_type *type) {
-  return (struct tmx_resources){type->cpus, type->gpus, type->mem_gb};
-}
-
-/* Returns the number of tasks that fit into the available resources. */
-static uint32_t count_fitting(const struct tmx_job_spec *spec, struct tmx_resources available) {
-  double count = TASKS_PER_MACHINE_MAX;
-  if (spec->cpus > 0) count = fmin(count, available.cpus / spec->cpus + COUNT_EPSILON);
-  if (spec->gpus > 0) count = fmin(count, available.gpus / spec->gpus + COUNT_EPSILON);
-  if (spec->mem_gb > 0) count = fmin(count, available.mem_gb / spec->mem_gb + COUNT_EPSILON);
-  return count < 0 ? 0 : (uint32_t)count;
-}
-
 /* Packs as many of the tasks as fit into the bin. Returns their number. */
-static uint32_t fill_bin(struct bin *bin, const struct tmx_job_spec *spec, uint32_t tasks) {
-  uint32_t count = count_fitting(spec, bin->free);
+static uint32_t fill_bin(struct bin *bin, const struct tmx_demand *demand, uint32_t tasks) {
+  uint32_t count = tmx_demand_count_fitting(demand, bin->free);
   if (count > tasks) count = tasks;
-  bin->free =
-      tmx_resources_subtract(bin->free, tmx_resources_multiply(tmx_resources_of_task(spec), count));
+  bin->free = tmx_resources_subtract(
+      bin->free, tmx_resources_multiply(tmx_resources_of_task(demand->spec), count));
   return count;
 }
 
@@ -106,10 +79,10 @@
   double best_cost = 0;
   for (size_t i = 0; i < plan->n_offers; i++) {
     const struct tmx_offer *offer = &plan->offers[i];
-    if (!is_suitable(demand, offer->type, offer->zone, offer->spot) ||
+    if (!tmx_demand_allows(demand, offer->type, offer->zone, offer->spot) ||
         reached_offer_limit(plan, (int)i))
       continue;
-    uint32_t fitting = count_fitting(demand->spec, size_of_type(offer->type));
+    uint32_t fitting = tmx_demand_count_fitting(demand, tmx_resources_of_type(offer->type));
     if (!fitting) continue;
     /* Capacity for more tasks than wait counts by half. */
     double effective_tasks = fitting < tasks ? fitting : (tasks + fitting) / 2.0;
@@ -136,60 +109,61 @@
 /* Adds an empty machine of the offer to the bins. n_bins must be below cap_bins. */
 static struct bin *add_bin(struct scale_out_plan *plan, const struct tmx_offer *offer) {
   struct bin *bin = &plan->bins[plan->n_bins++];
-  *bin = (struct bin){size_of_type(offer->type), offer->type, offer->zone, offer->spot};
+  *bin = (struct bin){tmx_resources_of_type(offer->type), offer->type, offer->zone, offer->spot};
   return bin;
 }
 
-/* Packs tasks of the demand into the bins, and rents machines for the rest. */
-static enum tmx_demand_decision pack_demand(struct scale_out_plan *plan,
-                                            const struct tmx_demand *demand, uint32_t tasks) {
-  enum tmx_demand_decision decision = TMX_DEMAND_FITS;
+/* Packs tasks of the demand into the bins, and rents machines for the rest. Sets the demand's
+ * decision. */
+static void pack_demand(struct scale_out_plan *plan, struct tmx_demand *demand, uint32_t tasks) {
   for (size_t i = 0; i < plan->n_bins && tasks; i++) {
     struct bin *bin = &plan->bins[i];
-    if (is_suitable(demand, bin->type, bin->zone, bin->spot))
-      tasks -= fill_bin(bin, demand->spec, tasks);
+    if (tmx_demand_allows(demand, bin->type, bin->zone, bin->spot))
+      tasks -= fill_bin(bin, demand, tasks);
   }
+  demand->decision = tasks ? TMX_DEMAND_NO_OFFER : TMX_DEMAND_FITS;
   while (tasks && plan->n_bins < plan->cap_bins) {
     int offer = best_offer(plan, demand, tasks);
-    if (offer < 0) return TMX_DEMAND_NO_OFFER;
-    tasks -= fill_bin(add_bin(plan, &plan->offers[offer]), demand->spec, tasks);
-    if (!count_rental(plan, offer)) return TMX_DEMAND_NO_OFFER;
-    decision = TMX_DEMAND_RENTED;
+    if (offer < 0 || !count_rental(plan, offer)) return;
+    tasks -= fill_bin(add_bin(plan, &plan->offers[offer]), demand, tasks);
+    if (!tasks) demand->decision = TMX_DEMAND_RENTED;
   }
-  return tasks ? TMX_DEMAND_NO_OFFER : decision;
-}
-
-/* Returns the expected work of the waiting tasks of job arrays, CPU seconds. */
-static double array_backlog(const struct tmx_demand *demands, size_t n_demands) {
-  double backlog = 0;
-  for (size_t i = 0; i < n_demands; i++)
-    if (!demands[i].spec->service)
-      backlog += demands[i].tasks * demands[i].spec->cpus * fmax(demands[i].run_s, RUN_S_MIN);
-  return backlog;
 }
 
 /* Returns the number of tasks for which to provide capacity at once. A service gets capacity for
  * all of its replicas. A job array gets so much capacity that all of its tasks, run in succession
  * on that capacity, finish in about FULL_DEMAND_RUN_S. If one task runs at least that long, the
  * array gets capacity for all tasks. */
-static uint32_t tasks_to_provision(const struct tmx_demand *demand) {
-  if (demand->spec->service) return demand->tasks;
-  return (uint32_t)ceil(demand->tasks *
-                        fmin(1.0, fmax(demand->run_s, RUN_S_MIN) / FULL_DEMAND_RUN_S));
+static uint32_t tasks_to_provision(const struct tmx_demand *demand, uint32_t tasks) {
+  if (demand->spec->service) return tasks;
+  return (uint32_t)ceil(tasks * fmin(1.0, tmx_demand_run_s(demand) / FULL_DEMAND_RUN_S));
 }
 
-/* Adds the provisioned machines as the first bins of the plan. */
+/* Adds the provisioned machines with free capacity as the first bins of the plan. */
 static void add_provisioned_bins(struct scale_out_plan *plan,
                                  const struct tmx_scale_out_input *input) {
   for (size_t i = 0; i < input->n_provisioned; i++) {
     const struct tmx_provisioned_machine *machine = &input->provisioned[i];
-    plan->bins[plan->n_bins++] = (struct bin){{machine->cpus, machine->gpus, machine->mem_gb},
-                                              machine->type,
-                                              machine->zone,
-                                              machine->spot};
+    if (machine->free.cpus > 0 && machine->free.mem_gb > 0)
+      plan->bins[plan->n_bins++] =
+          (struct bin){machine->free, machine->type, machine->zone, machine->spot};
   }
 }
 
+static void plan_demand(struct scale_out_plan *plan, struct tmx_demand *demand) {
+  demand->decision = TMX_DEMAND_CLEARED_SOON;
+  if (demand->spec->service || demand->overdue ||
+      !tmx_clearance_is_soon(&plan->clearance, demand, demand->tasks))
+    pack_demand(plan, demand, tasks_to_provision(demand, demand->tasks));
+}
+
+static void plan_demands(struct scale_out_plan *plan, struct tmx_demand *demands, size_t count) {
+  for (size_t i = 0; i < count; i++)
+    if (!demands[i].spec->service)
+      tmx_clearance_add(&plan->clearance, &demands[i], demands[i].tasks);
+  for (size_t i = 0; i < count; i++) plan_demand(plan, &demands[i]);
+}
+
 size_t tmx_plan_scale_out(const struct tmx_scale_out_input *input, struct tmx_scale_out *out,
                           size_t max) {
   struct scale_out_plan plan = {.offers = input->offers,
@@ -199,17 +173,9 @@
                                 .max_rentals = max};
   plan.bins = tmx_allocate(plan.cap_bins, sizeof *plan.bins);
   add_provisioned_bins(&plan, input);
-  /* If the provisioned machines clear the backlog of job arrays within TMX_BACKLOG_CLEAR_S, about
-   * the boot time of a machine, job arrays need no new machines. */
-  double backlog = array_backlog(input->demands, input->n_demands);
-  bool cleared_soon =
-      input->provisioned_cpus > 0 && backlog / input->provisioned_cpus < TMX_BACKLOG_CLEAR_S;
-  for (size_t i = 0; i < input->n_demands; i++) {
-    struct tmx_demand *demand = &input->demands[i];
-    demand->decision = !demand->spec->service && cleared_soon
-                           ? TMX_DEMAND_CLEARED_SOON
-                           : pack_demand(&plan, demand, tasks_to_provision(demand));
-  }
+  tmx_clearance_init(&plan.clearance, input->provisioned, input->n_provisioned);
+  plan_demands(&plan, input->demands, input->n_demands);
+  tmx_clearance_release(&plan.clearance);
   free(plan.bins);
   return plan.n_rentals;
 }
--- a/src/planner/scale_out_plan.h
+++ b/src/planner/scale_out_plan.h
@@ -9,6 +9,7 @@
 #define TMX_SCALE_OUT_PLAN_H
 #include "catalog/machine_catalog.h"
 #include "planner/planner.h"
+#include "planner/resources.h"
 #include "replica/replica.h"
 
 /** What a plan does for a demand. */
@@ -21,10 +22,12 @@
 
 /** Waiting tasks that found no free capacity, of one job or of several jobs with equal requests. */
 struct tmx_demand {
-  const struct tmx_job_spec *spec;   /**< resources that one task requests; borrowed */
-  uint32_t tasks;                    /**< number of waiting tasks */
-  int zone;                          /**< index of the only allowed zone; -1: any zone */
-  double run_s;                      /**< expected run time of one task, s */
+  const struct tmx_job_spec *spec; /**< resources that one task requests; borrowed */
+  uint32_t tasks;                  /**< number of waiting tasks */
+  int team;                        /**< index of the team in the settings */
+  int zone;                        /**< index of the only allowed zone; -1: any zone */
+  double run_s;                    /**< expected run time of one task, s */
+  bool overdue; /**< no task has been placed for longer than TMX_BACKLOG_CLEAR_S */
   enum tmx_demand_decision decision; /**< written by tmx_plan_scale_out() */
 };
 
@@ -36,14 +39,13 @@
   double price;                        /**< price of one machine; all offers use the same unit */
 };
 
-/** Free capacity of a machine that is up, or that is rented and not up yet. */
+/** A machine that is up, or that is rented and not up yet. */
 struct tmx_provisioned_machine {
   const struct tmx_machine_type *type; /**< borrowed from the catalog */
   int zone;                            /**< index of the zone; -1: unknown */
   bool spot;                           /**< spot, else on demand */
-  double cpus,                         /**< free CPUs */
-      gpus,                            /**< free GPUs */
-      mem_gb;                          /**< free memory, GB */
+  struct tmx_resources free;           /**< not booked; zero if the machine gets no tasks now */
+  struct tmx_resources for_arrays;     /**< not booked by services, which do not end */
 };
 
 /** The machines to rent of one offer. */
@@ -59,9 +61,8 @@
   size_t n_demands;                                  /**< entries of `demands` */
   const struct tmx_offer *offers;                    /**< machines that may be rented now */
   size_t n_offers;                                   /**< entries of `offers` */
-  const struct tmx_provisioned_machine *provisioned; /**< machines with free capacity */
+  const struct tmx_provisioned_machine *provisioned; /**< all machines that count as capacity */
   size_t n_provisioned;                              /**< entries of `provisioned` */
-  double provisioned_cpus; /**< total CPUs, free or not, of all machines that are up or rented */
 };
 
 /** Returns the decision in words, for the log. */
@@ -70,7 +71,8 @@
 /**
  * Packs the demands into the free capacity of the provisioned machines. Tasks that do not fit are
  * packed into new machines, each of the offer with the lowest price per task, weighted by the boot
- * time.
+ * time. Nothing is rented for a job array that the provisioned machines complete soon, unless it is
+ * overdue.
  *
  * @param input demands, offers and provisioned machines
  * @param out receives at most `max` entries, one for each offer of which to rent machines
--- a/src/replica/apply_operation.c
+++ b/src/replica/apply_operation.c
@@ -18,11 +18,16 @@
   struct tmx_job *job = task->job;
   struct tmx_machine *machine = task->machine;
   const double cpus = sign * job->spec.cpus, gpus = sign * job->spec.gpus;
+  const double mem_gb = sign * job->spec.mem_gb;
   replica->booked_cpus += cpus;
   machine->booked_cpus += cpus;
-  if (job->spec.service) machine->service_cpus += cpus;
   machine->booked_gpus += gpus;
-  machine->booked_mem_gb += sign * job->spec.mem_gb;
+  machine->booked_mem_gb += mem_gb;
+  if (job->spec.service) {
+    machine->service_cpus += cpus;
+    machine->service_gpus += gpus;
+    machine->service_mem_gb += mem_gb;
+  }
   if (machine->zone >= 0) job->placed_in_zone[machine->zone] += (uint32_t)sign;
   if (job->team >= 0) {
     replica->team_usage[job->team].cpus += cpus;
@@ -36,9 +41,10 @@
   add_to_totals(replica, task, -1);
   DL_DELETE(machine->tasks, task);
   /* without tasks the totals are zero: clear what rounding errors have left in them */
-  if (--machine->n_tasks == 0)
-    machine->booked_cpus = machine->booked_gpus = machine->booked_mem_gb = machine->service_cpus =
-        0;
+  if (--machine->n_tasks == 0) {
+    machine->booked_cpus = machine->booked_gpus = machine->booked_mem_gb = 0;
+    machine->service_cpus = machine->service_gpus = machine->service_mem_gb = 0;
+  }
   job->n_placed--;
   task->machine = NULL;
   task->prev = task->next = NULL;
--- a/src/replica/machine.h
+++ b/src/replica/machine.h
@@ -62,7 +62,9 @@
   double booked_cpus,        /**< CPUs of all tasks placed on it */
       booked_gpus,           /**< GPUs of all tasks placed on it */
       booked_mem_gb;         /**< memory of all tasks placed on it, GB */
-  double service_cpus;       /**< part of `booked_cpus` that belongs to services */
+  double service_cpus,       /**< part of `booked_cpus` that belongs to services */
+      service_gpus,          /**< part of `booked_gpus` that belongs to services */
+      service_mem_gb;        /**< part of `booked_mem_gb` that belongs to services, GB */
   /** Errors after which it had no success yet, by job, in the order of the jobs' first errors. */
   struct tmx_job_errors errors[TMX_FAILED_JOBS_KEPT];
   size_t n_errors;                      /**< entries of `errors` in use */
--- a/tests/fake_cloud.c
+++ b/tests/fake_cloud.c
@@ -40,7 +40,7 @@
   tmx_cbor_put_bool_field(buffer, W_HAS_NEXT, remaining > count);
 }
 
-static void list_types(struct tmx_buffer *buffer) {
+static void list_types(const struct fake_cloud *cloud, struct tmx_buffer *buffer) {
   tmx_cbor_put_map(buffer, 1);
   tmx_cbor_put_text(buffer, W_TYPES);
   tmx_cbor_put_array(buffer, 1);
@@ -55,8 +55,17 @@
   tmx_cbor_put_double_field(buffer, W_SPOT_PRICE, 0.4);
   tmx_cbor_put_double_field(buffer, W_BOOT_S, 30);
   tmx_cbor_put_text(buffer, W_ZONES);
-  tmx_cbor_put_array(buffer, 1);
+  tmx_cbor_put_array(buffer, cloud->second_zone ? 2 : 1);
   tmx_cbor_put_text(buffer, "a");
+  if (cloud->second_zone) tmx_cbor_put_text(buffer, cloud->second_zone);
+}
+
+static void refuse_rental(struct fake_cloud *cloud, struct tmx_http_request *request) {
+  cbor_item_t *map = tmx_cbor_parse(request->body, request->body_len);
+  tmx_cbor_get_text(map, W_ZONE, cloud->rental_zone, sizeof cloud->rental_zone);
+  tmx_cbor_free(map);
+  cloud->rentals++;
+  tmx_http_reply(request, 503, NULL, 0);
 }
 
 static void delete_machines(struct fake_cloud *cloud, struct tmx_http_request *request) {
@@ -77,13 +86,12 @@
   struct fake_cloud *cloud = argument;
   struct tmx_buffer buffer = {0};
   if (!strcmp(request->path, WP_TYPES)) {
-    list_types(&buffer);
+    list_types(cloud, &buffer);
     tmx_http_reply(request, 200, &buffer, 0);
   } else if (!strcmp(request->path, WP_DELETE)) {
     delete_machines(cloud, request);
   } else if (request->method == HTTP_POST) {
-    cloud->rentals++;
-    tmx_http_reply(request, 503, NULL, 0);
+    refuse_rental(cloud, request);
   } else {
     list_machines(cloud, request, &buffer);
     tmx_http_reply(request, 200, &buffer, 0);
--- a/tests/fake_users.c
+++ b/tests/fake_users.c
@@ -55,7 +55,9 @@
 }
 
 void encode_job_submission(struct tmx_buffer *buffer, const struct fake_job *job) {
-  tmx_cbor_put_map(buffer, 17u + (job->dependencies != NULL) + (job->types != NULL));
+  tmx_cbor_put_map(buffer,
+                   17u + (job->dependencies != NULL) + (job->types != NULL) + (job->zone != NULL));
+  if (job->zone) tmx_cbor_put_text_field(buffer, W_ZONE, job->zone);
   if (job->types) {
     tmx_cbor_put_text(buffer, W_TYPES);
     tmx_buffer_append(buffer, job->types->data, job->types->length);
@@ -73,8 +75,8 @@
   tmx_cbor_put_double_field(buffer, W_CPUS, job->cpus);
   tmx_cbor_put_double_field(buffer, W_GPUS, 0);
   tmx_cbor_put_double_field(buffer, W_MEM, 1);
-  tmx_cbor_put_bool_field(buffer, W_ONE_ZONE, false);
-  tmx_cbor_put_bool_field(buffer, W_SPREAD, false);
+  tmx_cbor_put_bool_field(buffer, W_ONE_ZONE, job->one_zone);
+  tmx_cbor_put_bool_field(buffer, W_SPREAD, job->spread);
   tmx_cbor_put_bool_field(buffer, W_SPOT, false);
   tmx_cbor_put_text_field(buffer, W_IMAGE, "img");
   tmx_cbor_put_double_field(buffer, W_IMAGE_GB, 0.1);
--- a/tests/fake_users.h
+++ b/tests/fake_users.h
@@ -24,6 +24,9 @@
   /** The encoded list of the ids of jobs that this job depends on; NULL: none. */
   const struct tmx_buffer *dependencies;
   const struct tmx_buffer *types; /**< the encoded list of machine types; NULL: any */
+  const char *zone;               /**< the only allowed zone; NULL: any */
+  bool one_zone;                  /**< all tasks must be in the same zone */
+  bool spread;                    /**< at most half of the tasks may be in one zone */
 };
 
 /** Appends the request body that submits `job`. */
--- a/tests/fake_worker.c
+++ b/tests/fake_worker.c
@@ -17,7 +17,7 @@
   tmx_cbor_put_text_field(buffer, W_MACHINE, worker->id);
   tmx_cbor_put_text_field(buffer, W_ADDR, worker->address);
   tmx_cbor_put_text_field(buffer, W_TYPE, "big");
-  tmx_cbor_put_text_field(buffer, W_ZONE, "a");
+  tmx_cbor_put_text_field(buffer, W_ZONE, worker->zone);
   tmx_cbor_put_bool_field(buffer, W_SPOT, false);
   tmx_cbor_put_u64_field(buffer, W_SESSION, worker->session);
   tmx_cbor_put_u64_field(buffer, W_SEQUENCE, worker->sequence);
@@ -132,6 +132,7 @@
 void fake_worker_open(struct fake_worker *worker, const char *id) {
   memset(worker, 0, sizeof *worker);
   snprintf(worker->id, sizeof worker->id, "%s", id);
+  worker->zone = "a";
   worker->session = 1;
   worker->server = tmx_http_server_new(test_loop, "127.0.0.1:0", 16, 60, on_request, worker);
   assert_non_null(worker->server);
--- a/tests/fake_worker.h
+++ b/tests/fake_worker.h
@@ -47,6 +47,7 @@
 struct fake_worker {
   char id[TMX_ID_BYTES]; /**< id of the machine */
   char address[32];      /**< listen address for commands and probes */
+  const char *zone;      /**< zone of the machine, by default "a" */
   struct tmx_http_server *server;
   bool fails_commands; /**< commands get 500 and are not executed; probes succeed */
   bool unresponsive;   /**< commands and probes get 500 */
