Scale-out: the demand of arrays follows the zones in which their tasks may run

A task that must run in one zone was counted as if it could run in any, so that free capacity of another zone kept a machine from being rented: - an array with same_place, part of which is placed in a zone; - an array with spread, half of which is placed in a zone. Replicas whose type one zone does not offer were counted for that zone, and never got their machine in the others. And machines were rented for tasks above the zone cap, which may not start.

Change: one function computes the room that the caps leave in each zone that has machines for the job, for arrays and services alike.

--- a/src/cloud/scale_out.c
+++ b/src/cloud/scale_out.c
@@ -147,6 +147,7 @@
   struct tmx_demand_list demand = {0};
   const struct tmx_demand_source source = {.settings = cloud->settings,
                                            .replica = cloud->replica,
+                                           .catalog = cloud->catalog,
                                            .leading_since = cloud->leading_since,
                                            .now = now};
   tmx_demand_list_collect(&demand, &source);
--- a/src/cloud/scale_out_demand.c
+++ b/src/cloud/scale_out_demand.c
@@ -4,6 +4,8 @@
 #include <string.h>
 
 #include "base/memory.h"
+#include "planner/resources.h"
+#include "replica/placement_caps.h"
 
 /* s since the job was loaded. A younger job adds no demand, as the next scheduling round may still
  * place its tasks on present machines. */
@@ -42,47 +44,49 @@
   list->demands[list->count++] = added;
 }
 
-static int zone_of_spec(const struct tmx_settings *settings, const struct tmx_job_spec *spec) {
-  return spec->zone[0] ? tmx_zone_index(settings, spec->zone) : -1;
-}
-
-/* Returns the zone that the service must run in: the zone of its spec or, if all replicas must be
- * in one zone, a zone that already holds replicas. -1: any. */
-static int service_zone(const struct tmx_settings *settings, const struct tmx_job *job) {
-  int zone = zone_of_spec(settings, &job->spec);
+/* Returns the zone that all tasks of the job must run in: the zone of its spec or, if all must be
+ * in one zone, the zone that already holds tasks. -1: any. */
+static int required_zone(const struct tmx_settings *settings, const struct tmx_job *job) {
+  int zone = job->spec.zone[0] ? tmx_zone_index(settings, job->spec.zone) : -1;
   for (size_t z = 0; zone < 0 && job->spec.same_zone && z < settings->n_zones; z++)
     if (job->placed_in_zone[z]) zone = (int)z;
   return zone;
 }
 
-/* Returns the zone with the fewest replicas among the zones below the cap; n_zones: all zones are
- * at the cap. */
-static size_t zone_with_fewest_replicas(const struct tmx_settings *settings,
-                                        const struct tmx_job *job, const uint32_t added[],
-                                        uint32_t cap) {
-  size_t best = settings->n_zones;
-  for (size_t z = 0; z < settings->n_zones; z++) {
-    uint32_t replicas = job->placed_in_zone[z] + added[z];
-    if (replicas >= cap) continue;
-    if (best == settings->n_zones || replicas < job->placed_in_zone[best] + added[best]) best = z;
+/* Returns whether the zone has a machine type that may run a task of the job. */
+static bool zone_is_possible(const struct tmx_machine_catalog *catalog,
+                             const struct tmx_job_spec *spec, size_t zone) {
+  for (size_t i = 0; i < catalog->n_types; i++) {
+    const struct tmx_machine_type *type = &catalog->types[i];
+    if (type->zones[zone] &&
+        tmx_resources_fit(tmx_resources_of_task(spec), tmx_resources_of_type(type)) &&
+        tmx_type_allowed(spec, type->name))
+      return true;
   }
-  return best;
+  return false;
 }
 
-/* Spreads the pending replicas of a service over the zones that are below the cap, and adds a
- * demand for each zone. Each replica goes to the zone with the fewest replicas. Replicas
- * that no zone can take without exceeding the cap add no demand. */
-static void add_service_demand(const struct tmx_settings *settings, struct tmx_demand_list *list,
-                               const struct tmx_job *job, struct tmx_demand demand) {
-  const struct tmx_job_spec *spec = &job->spec;
-  if (spec->zone[0] || spec->same_zone || settings->n_zones < 2) {
-    demand.zone = service_zone(settings, job);
-    add_demand(list, demand);
-    return;
+/* Returns the zone with the fewest tasks among the zones with room below the cap; n_zones: there is
+ * none. */
+static size_t zone_with_fewest_tasks(size_t n_zones, const uint32_t tasks[], const uint32_t room[],
+                                     const uint32_t added[]) {
+  size_t best = n_zones;
+  for (size_t z = 0; z < n_zones; z++) {
+    if (added[z] >= room[z]) continue;
+    if (best == n_zones || tasks[z] + added[z] < tasks[best] + added[best]) best = z;
   }
-  uint32_t cap = tmx_zone_cap(spec, settings->n_zones), added[TMX_ZONES_MAX] = {0};
+  return best;
+}
+
+/* Spreads the pending tasks over the zones with room below the cap, and adds a demand for each
+ * zone. Each task goes to the zone with the fewest tasks. Tasks that no zone can take without
+ * exceeding the cap add no demand. */
+static void add_spread_demand(const struct tmx_settings *settings, struct tmx_demand_list *list,
+                              const struct tmx_job *job, struct tmx_demand demand,
+                              const uint32_t room[]) {
+  uint32_t added[TMX_ZONES_MAX] = {0};
   for (uint32_t tasks = demand.tasks; tasks; tasks--) {
-    size_t zone = zone_with_fewest_replicas(settings, job, added, cap);
+    size_t zone = zone_with_fewest_tasks(settings->n_zones, job->placed_in_zone, room, added);
     if (zone == settings->n_zones) break;
     added[zone]++;
   }
@@ -93,6 +97,54 @@
   }
 }
 
+/* Computes how many more tasks of the job each zone may hold. Returns whether a zone is full that
+ * has machines for the job. */
+static bool room_below_cap(const struct tmx_demand_source *source, const struct tmx_job *job,
+                           uint32_t room[]) {
+  const struct tmx_settings *settings = source->settings;
+  uint32_t cap = tmx_zone_cap(&job->spec, settings->n_zones);
+  bool any_full = false;
+  for (size_t z = 0; z < settings->n_zones; z++) {
+    uint32_t placed = job->placed_in_zone[z];
+    bool possible = zone_is_possible(source->catalog, &job->spec, z);
+    room[z] = possible && placed < cap ? cap - placed : 0;
+    any_full |= possible && placed >= cap;
+  }
+  return any_full;
+}
+
+/* Returns how many more tasks of the job the zone with the most room may hold. */
+static uint32_t most_room(size_t n_zones, const uint32_t room[]) {
+  uint32_t most = 0;
+  for (size_t z = 0; z < n_zones; z++)
+    if (room[z] > most) most = room[z];
+  return most;
+}
+
+static void add_at_most(struct tmx_demand_list *list, struct tmx_demand demand, uint32_t tasks) {
+  if (demand.tasks > tasks) demand.tasks = tasks;
+  add_demand(list, demand);
+}
+
+/* Adds the demand of a job that waits with demand.tasks tasks. The tasks of a service are spread
+ * over the zones. So are those of an array as soon as a zone is at the cap: free capacity in that
+ * zone is none for them. */
+static void add_job_demand(const struct tmx_demand_source *source, struct tmx_demand_list *list,
+                           const struct tmx_job *job, struct tmx_demand demand) {
+  const struct tmx_settings *settings = source->settings;
+  uint32_t room[TMX_ZONES_MAX];
+  bool any_zone_full = room_below_cap(source, job, room);
+  demand.zone = required_zone(settings, job);
+  if (demand.zone >= 0)
+    add_at_most(list, demand, room[demand.zone]);
+  else if (job->spec.same_zone || settings->n_zones < 2)
+    add_at_most(list, demand, most_room(settings->n_zones, room));
+  else if (job->spec.service || any_zone_full)
+    add_spread_demand(settings, list, job, demand, room);
+  else
+    add_demand(list, demand);
+}
+
 /* Returns the number of pending tasks of the job, limited by the CPUs that its team has left. */
 static uint32_t pending_tasks(const struct tmx_job *job, double team_cpus, double now) {
   if (job->outcome || job->team < 0 || tmx_job_is_blocked(job)) return 0;
@@ -128,12 +180,7 @@
     demand.tasks = pending_tasks(job, job->team < 0 ? 0 : cpus_left[job->team], source->now);
     if (!demand.tasks) continue;
     cpus_left[job->team] -= demand.tasks * job->spec.cpus;
-    if (job->spec.service) {
-      add_service_demand(settings, list, job, demand);
-      continue;
-    }
-    demand.zone = zone_of_spec(settings, &job->spec);
-    demand.run_s = tmx_run_estimate_expected(source->replica, &job->spec);
-    add_demand(list, demand);
+    if (!job->spec.service) demand.run_s = tmx_run_estimate_expected(source->replica, &job->spec);
+    add_job_demand(source, list, job, demand);
   }
 }
--- a/src/cloud/scale_out_demand.h
+++ b/src/cloud/scale_out_demand.h
@@ -5,6 +5,7 @@
  */
 #ifndef TMX_SCALE_OUT_DEMAND_H
 #define TMX_SCALE_OUT_DEMAND_H
+#include "catalog/machine_catalog.h"
 #include "config/settings.h"
 #include "planner/scale_out_plan.h"
 #include "replica/replica.h"
@@ -19,12 +20,14 @@
 
 /** What the demand is collected from. */
 struct tmx_demand_source {
-  const struct tmx_settings *settings; /**< zones, teams */
-  const struct tmx_replica *replica;   /**< jobs and their tasks */
+  const struct tmx_settings *settings;       /**< zones, teams */
+  const struct tmx_replica *replica;         /**< jobs and their tasks */
+  const struct tmx_machine_catalog *catalog; /**< types by zone */
   double leading_since; /**< steady clock, s: this controller has led without a break since then */
   double now;           /**< steady clock, s */
 };
 
-/** Adds the tasks that are pending and that their team's CPU limit allows to start. */
+/** Adds the tasks that are pending and that their team's CPU limit and the zone caps allow to
+ * start. */
 void tmx_demand_list_collect(struct tmx_demand_list *list, const struct tmx_demand_source *source);
 #endif
--- a/tests/test_scale_out.c
+++ b/tests/test_scale_out.c
@@ -126,6 +126,31 @@
   assert_rented_in("a", OVERDUE_RENTAL_MAX_S);
 }
 
+/* Guards against a wait of the remaining tasks of an array whose tasks must be in one zone: free
+ * capacity in another zone is none for them. */
+static void an_array_in_one_zone_gets_machines_in_that_zone(void **state) {
+  (void)state;
+  add_machine("a");
+  run_tasks(
+      &(struct fake_job){
+          .id = "wk-000001", .tasks = 2, .cpus = 12, .one_zone = true, .estimate_s = 3600},
+      1);
+  add_machine("b");
+  fake_cloud.rentals = 0;
+  assert_rented_in("a", RENTAL_MAX_S + (unsigned)TMX_OFFER_BACKOFF_MIN_S);
+}
+
+/* Guards against a wait of tasks that must be in another zone, as half of the tasks are in this
+ * one: free capacity in this zone is none for them. */
+static void a_spread_array_gets_a_machine_in_the_other_zone(void **state) {
+  (void)state;
+  add_machine("a");
+  submit(&(struct fake_job){
+      .id = "wk-000001", .tasks = 4, .cpus = 2, .spread = true, .estimate_s = 3600});
+  assert_rented_in("b", RENTAL_MAX_S);
+  assert_int_equal(running_tasks(), 2);
+}
+
 static void complete_running_tasks_everywhere(void) {
   for (size_t i = 0; i < machine_count(); i++)
     for (size_t k = 0; k < machines[i]->n_tasks; k++) {
@@ -149,6 +174,21 @@
   assert_nothing_is_rented(20);
 }
 
+/* Guards against the price of machines for tasks that may not start: half of the tasks may be in
+ * the only zone that the array is bound to. */
+static void nothing_is_rented_for_tasks_above_the_zone_cap(void **state) {
+  (void)state;
+  add_machine("a");
+  run_tasks(&(struct fake_job){.id = "wk-000001",
+                               .tasks = 6,
+                               .cpus = 5,
+                               .spread = true,
+                               .zone = "a",
+                               .estimate_s = 3600},
+            3);
+  assert_nothing_is_rented(20);
+}
+
 #define SCALE_OUT_TEST(name) \
   cmocka_unit_test_setup_teardown(name, setup_two_zones, teardown_controllers)
 
@@ -157,7 +197,10 @@
       SCALE_OUT_TEST(an_array_bound_to_a_zone_gets_a_machine_there),
       SCALE_OUT_TEST(an_array_beside_a_machine_full_of_replicas_gets_a_machine),
       SCALE_OUT_TEST(an_array_behind_long_tasks_gets_a_machine),
+      SCALE_OUT_TEST(an_array_in_one_zone_gets_machines_in_that_zone),
+      SCALE_OUT_TEST(a_spread_array_gets_a_machine_in_the_other_zone),
       SCALE_OUT_TEST(nothing_is_rented_for_work_that_present_machines_soon_complete),
+      SCALE_OUT_TEST(nothing_is_rented_for_tasks_above_the_zone_cap),
   };
   return RUN_TESTS(tests);
 }
