Scale-out: a demand that no offer is left for returns its team's quota

An array that waits for a zone without capacity took all that its team's limit leaves, and a later job of the team that could have had a machine elsewhere got no demand, for as long as the first one waits. Limits on GPUs were not looked at, so machines were rented for tasks that wait for that limit.

Change: the plan itself hands out CPUs and GPUs of the quota. What a demand cannot use, as no offer is left for it, goes to the team's other demands in a second pass. Demands of different teams are no longer merged.

--- a/src/cloud/scale_out.c
+++ b/src/cloud/scale_out.c
@@ -125,14 +125,18 @@
 static void plan_and_rent(struct tmx_cloud *cloud, struct tmx_demand_list *demand, double now) {
   struct offer_list list;
   struct tmx_scale_out scale_outs[SCALE_OUTS_MAX];
+  struct tmx_usage quota_left[TMX_TEAMS_MAX];
   struct capacity capacity = collect_capacity(cloud);
+  tmx_quota_left(cloud->settings, cloud->replica, quota_left);
   collect_offers(cloud, now, &list);
   struct tmx_scale_out_input input = {.demands = demand->demands,
                                       .n_demands = demand->count,
                                       .offers = list.offers,
                                       .n_offers = list.count,
                                       .provisioned = capacity.machines,
-                                      .n_provisioned = capacity.count};
+                                      .n_provisioned = capacity.count,
+                                      .quota_left = quota_left,
+                                      .n_teams = cloud->settings->n_teams};
   size_t count = tmx_plan_scale_out(&input, scale_outs, SCALE_OUTS_MAX);
   log_plan(cloud->settings, demand, &capacity, count);
   sort_largest_first(scale_outs, count, list.offers);
--- a/src/cloud/scale_out_demand.c
+++ b/src/cloud/scale_out_demand.c
@@ -4,14 +4,14 @@
 #include <string.h>
 
 #include "base/memory.h"
-#include "planner/resources.h"
 #include "replica/placement_caps.h"
 
 /* s since the job was loaded. A younger job adds no demand, as the next scheduling round may still
  * place its tasks on present machines. */
 static const double JOB_AGE_MIN_S = 0.5;
 
-static const double UNLIMITED_CPUS = 1e9;
+/* CPUs and GPUs that a team without a quota may use. */
+static const double UNLIMITED = 1e9;
 
 static bool specs_are_equivalent(const struct tmx_job_spec *left,
                                  const struct tmx_job_spec *right) {
@@ -26,15 +26,15 @@
   return left_s <= 2 * right_s && right_s <= 2 * left_s;
 }
 
-/* Adds pending tasks to the list. Tasks with the same requirements, the same zone and a
+/* Adds pending tasks to the list. Tasks of one team with the same requirements, the same zone and a
  * run time within a factor of two are counted as one demand, as the same machines are rented for
  * them. `added` has the job's properties. */
 static void add_demand(struct tmx_demand_list *list, struct tmx_demand added) {
   if (!added.tasks) return;
   for (size_t i = 0; i < list->count; i++) {
     struct tmx_demand *demand = &list->demands[i];
-    if (demand->zone != added.zone || demand->overdue != added.overdue ||
-        !specs_are_equivalent(demand->spec, added.spec) ||
+    if (demand->zone != added.zone || demand->team != added.team ||
+        demand->overdue != added.overdue || !specs_are_equivalent(demand->spec, added.spec) ||
         !run_times_are_similar(demand->run_s, added.run_s))
       continue;
     demand->tasks += added.tasks;
@@ -145,22 +145,11 @@
     add_demand(list, demand);
 }
 
-/* Returns the number of pending tasks of the job, limited by the CPUs that its team has left. */
-static uint32_t pending_tasks(const struct tmx_job *job, double team_cpus, double now) {
+/* Returns the number of pending tasks of the job. */
+static uint32_t pending_tasks(const struct tmx_job *job, double now) {
   if (job->outcome || job->team < 0 || tmx_job_is_blocked(job)) return 0;
-  uint32_t tasks = job->spec.tasks - job->n_done - job->n_placed;
-  if (!tasks || now - job->loaded_at < JOB_AGE_MIN_S) return 0;
-  if (job->spec.cpus > 0 && team_cpus < tasks * job->spec.cpus)
-    return team_cpus > 0 ? (uint32_t)(team_cpus / job->spec.cpus) : 0;
-  return tasks;
-}
-
-static void team_cpus_left(const struct tmx_settings *settings, const struct tmx_replica *replica,
-                           double left[]) {
-  for (size_t i = 0; i < settings->n_teams; i++) {
-    double limit = settings->teams[i].cpus_max;
-    left[i] = limit > 0 ? limit - replica->team_usage[i].cpus : UNLIMITED_CPUS;
-  }
+  if (now - job->loaded_at < JOB_AGE_MIN_S) return 0;
+  return job->spec.tasks - job->n_done - job->n_placed;
 }
 
 /* Returns whether the job has waited for longer than scale-out expects present machines to take. A
@@ -171,16 +160,33 @@
 }
 
 void tmx_demand_list_collect(struct tmx_demand_list *list, const struct tmx_demand_source *source) {
-  const struct tmx_settings *settings = source->settings;
-  double cpus_left[TMX_TEAMS_MAX];
-  team_cpus_left(settings, source->replica, cpus_left);
+  const struct tmx_replica *replica = source->replica;
   struct tmx_job *job, *next_job;
-  HASH_ITER(hh, source->replica->jobs, job, next_job) {
-    struct tmx_demand demand = {.spec = &job->spec, .overdue = is_overdue(source, job)};
-    demand.tasks = pending_tasks(job, job->team < 0 ? 0 : cpus_left[job->team], source->now);
-    if (!demand.tasks) continue;
-    cpus_left[job->team] -= demand.tasks * job->spec.cpus;
-    if (!job->spec.service) demand.run_s = tmx_run_estimate_expected(source->replica, &job->spec);
-    add_job_demand(source, list, job, demand);
+  HASH_ITER(hh, replica->jobs, job, next_job) {
+    uint32_t tasks = pending_tasks(job, source->now);
+    if (!tasks) continue;
+    const struct tmx_job_spec *spec = &job->spec;
+    double run_s = spec->service ? 0 : tmx_run_estimate_expected(replica, spec);
+    add_job_demand(source, list, job,
+                   (struct tmx_demand){.spec = spec,
+                                       .tasks = tasks,
+                                       .team = job->team,
+                                       .run_s = run_s,
+                                       .overdue = is_overdue(source, job)});
+  }
+}
+
+/* Returns what a limit leaves; 0: there is no limit. */
+static double left_of_limit(double limit, double used) {
+  return limit > 0 ? limit - used : UNLIMITED;
+}
+
+void tmx_quota_left(const struct tmx_settings *settings, const struct tmx_replica *replica,
+                    struct tmx_usage left[]) {
+  for (size_t i = 0; i < settings->n_teams; i++) {
+    const struct tmx_team_settings *team = &settings->teams[i];
+    const struct tmx_usage *used = &replica->team_usage[i];
+    left[i].cpus = left_of_limit(team->cpus_max, used->cpus);
+    left[i].gpus = left_of_limit(team->gpus_max, used->gpus);
   }
 }
--- a/src/cloud/scale_out_demand.h
+++ b/src/cloud/scale_out_demand.h
@@ -27,7 +27,9 @@
   double now;           /**< steady clock, s */
 };
 
-/** Adds the tasks that are pending and that their team's CPU limit and the zone caps allow to
- * start. */
+/** Adds the pending tasks of all jobs, as far as the zone caps allow them to start. */
 void tmx_demand_list_collect(struct tmx_demand_list *list, const struct tmx_demand_source *source);
+/** Computes for each team what its quota leaves. `left` has an entry for each team. */
+void tmx_quota_left(const struct tmx_settings *settings, const struct tmx_replica *replica,
+                    struct tmx_usage left[]);
 #endif
--- a/src/planner/scale_out_plan.c
+++ b/src/planner/scale_out_plan.c
@@ -6,6 +6,7 @@
 
 #include <math.h>
 #include <stdlib.h>
+#include <string.h>
 
 /* Seconds; a job array whose tasks run at least this long gets capacity for all tasks at once. */
 #define FULL_DEMAND_RUN_S 45.0
@@ -22,10 +23,15 @@
       return "machines are rented";
     case TMX_DEMAND_NO_OFFER:
       return "no offer is left";
+    case TMX_DEMAND_AT_QUOTA:
+      return "the team is at its quota";
   }
   return "";
 }
 
+/* Tolerance, in tasks, of the count of tasks that a quota allows. */
+#define QUOTA_EPSILON 1e-9
+
 /* A machine that tasks are packed into. */
 struct bin {
   struct tmx_resources free; /* resources that are not used yet */
@@ -42,7 +48,8 @@
   size_t n_bins, cap_bins;
   struct tmx_scale_out *rentals; /* the result: one entry for each offer of which to rent */
   size_t n_rentals, max_rentals;
-  struct tmx_clearance clearance; /* the work of all arrays */
+  struct tmx_usage *quota_left;   /* by team: what its quota leaves to the demands not taken yet */
+  struct tmx_clearance clearance; /* the work of the arrays that were taken */
 };
 
 /* Packs as many of the tasks as fit into the bin. Returns their number. */
@@ -113,21 +120,24 @@
   return bin;
 }
 
-/* Packs tasks of the demand into the bins, and rents machines for the rest. Sets the demand's
- * decision. */
-static void pack_demand(struct scale_out_plan *plan, struct tmx_demand *demand, uint32_t tasks) {
-  for (size_t i = 0; i < plan->n_bins && tasks; i++) {
+/* Packs tasks of the demand into the bins, and rents machines for the rest. Returns the number of
+ * tasks that were packed, and sets the demand's decision. */
+static uint32_t pack_demand(struct scale_out_plan *plan, struct tmx_demand *demand,
+                            uint32_t tasks) {
+  uint32_t packed = 0;
+  for (size_t i = 0; i < plan->n_bins && packed < tasks; i++) {
     struct bin *bin = &plan->bins[i];
     if (tmx_demand_allows(demand, bin->type, bin->zone, bin->spot))
-      tasks -= fill_bin(bin, demand, tasks);
+      packed += fill_bin(bin, demand, tasks - packed);
   }
-  demand->decision = tasks ? TMX_DEMAND_NO_OFFER : TMX_DEMAND_FITS;
-  while (tasks && plan->n_bins < plan->cap_bins) {
-    int offer = best_offer(plan, demand, tasks);
-    if (offer < 0 || !count_rental(plan, offer)) return;
-    tasks -= fill_bin(add_bin(plan, &plan->offers[offer]), demand, tasks);
-    if (!tasks) demand->decision = TMX_DEMAND_RENTED;
+  demand->decision = packed < tasks ? TMX_DEMAND_NO_OFFER : TMX_DEMAND_FITS;
+  while (packed < tasks && plan->n_bins < plan->cap_bins) {
+    int offer = best_offer(plan, demand, tasks - packed);
+    if (offer < 0 || !count_rental(plan, offer)) return packed;
+    packed += fill_bin(add_bin(plan, &plan->offers[offer]), demand, tasks - packed);
+    if (packed == tasks) demand->decision = TMX_DEMAND_RENTED;
   }
+  return packed;
 }
 
 /* Returns the number of tasks for which to provide capacity at once. A service gets capacity for
@@ -150,18 +160,60 @@
   }
 }
 
-static void plan_demand(struct scale_out_plan *plan, struct tmx_demand *demand) {
+/* Subtracts the tasks from what the quota of their team leaves, or adds them if `sign` is -1. */
+static void use_quota(struct tmx_usage *left, const struct tmx_demand *demand, uint32_t tasks,
+                      int sign) {
+  left[demand->team].cpus -= sign * (tasks * demand->spec->cpus);
+  left[demand->team].gpus -= sign * (tasks * demand->spec->gpus);
+}
+
+/* Returns the number of tasks of the demand, at most `tasks`, that the quota still allows. */
+static uint32_t tasks_within_quota(const struct tmx_usage *left, const struct tmx_demand *demand,
+                                   uint32_t tasks) {
+  const struct tmx_usage *usage = &left[demand->team];
+  double count = tasks;
+  if (demand->spec->cpus > 0) count = fmin(count, usage->cpus / demand->spec->cpus);
+  if (demand->spec->gpus > 0) count = fmin(count, usage->gpus / demand->spec->gpus);
+  return count < 0 ? 0 : (uint32_t)(count + QUOTA_EPSILON);
+}
+
+/* Plans for `added` tasks of the demand, after `before` tasks of it. Tasks that get no capacity
+ * return their part of the quota. */
+static void plan_demand(struct scale_out_plan *plan, struct tmx_demand *demand, uint32_t before,
+                        uint32_t added) {
   demand->decision = TMX_DEMAND_CLEARED_SOON;
-  if (demand->spec->service || demand->overdue ||
-      !tmx_clearance_is_soon(&plan->clearance, demand, demand->tasks))
-    pack_demand(plan, demand, tasks_to_provision(demand, demand->tasks));
+  if (!demand->spec->service && !demand->overdue &&
+      tmx_clearance_is_soon(&plan->clearance, demand, before + added))
+    return;
+  uint32_t packed = pack_demand(plan, demand, tasks_to_provision(demand, added));
+  if (demand->decision == TMX_DEMAND_NO_OFFER)
+    use_quota(plan->quota_left, demand, added - packed, -1);
+}
+
+/* Takes as many of the demand's remaining tasks into the plan as the quota allows. Returns their
+ * number. */
+static uint32_t take_tasks(struct scale_out_plan *plan, const struct tmx_demand *demand,
+                           uint32_t before) {
+  uint32_t tasks = tasks_within_quota(plan->quota_left, demand, demand->tasks - before);
+  use_quota(plan->quota_left, demand, tasks, 1);
+  if (!demand->spec->service) tmx_clearance_add(&plan->clearance, demand, tasks);
+  return tasks;
 }
 
 static void plan_demands(struct scale_out_plan *plan, struct tmx_demand *demands, size_t count) {
-  for (size_t i = 0; i < count; i++)
-    if (!demands[i].spec->service)
-      tmx_clearance_add(&plan->clearance, &demands[i], demands[i].tasks);
-  for (size_t i = 0; i < count; i++) plan_demand(plan, &demands[i]);
+  uint32_t *taken = tmx_allocate(count + 1, sizeof *taken);
+  for (size_t i = 0; i < count; i++) taken[i] = take_tasks(plan, &demands[i], 0);
+  for (size_t i = 0; i < count; i++) {
+    demands[i].decision = TMX_DEMAND_AT_QUOTA;
+    if (taken[i]) plan_demand(plan, &demands[i], 0, taken[i]);
+  }
+  /* The quota that the demands without an offer have returned goes to the others. */
+  for (size_t i = 0; i < count; i++) {
+    if (taken[i] == demands[i].tasks || demands[i].decision == TMX_DEMAND_NO_OFFER) continue;
+    uint32_t added = take_tasks(plan, &demands[i], taken[i]);
+    if (added) plan_demand(plan, &demands[i], taken[i], added);
+  }
+  free(taken);
 }
 
 size_t tmx_plan_scale_out(const struct tmx_scale_out_input *input, struct tmx_scale_out *out,
@@ -172,10 +224,13 @@
                                 .rentals = out,
                                 .max_rentals = max};
   plan.bins = tmx_allocate(plan.cap_bins, sizeof *plan.bins);
+  plan.quota_left = tmx_allocate(input->n_teams + 1, sizeof *plan.quota_left);
+  memcpy(plan.quota_left, input->quota_left, input->n_teams * sizeof *plan.quota_left);
   add_provisioned_bins(&plan, input);
   tmx_clearance_init(&plan.clearance, input->provisioned, input->n_provisioned);
   plan_demands(&plan, input->demands, input->n_demands);
   tmx_clearance_release(&plan.clearance);
+  free(plan.quota_left);
   free(plan.bins);
   return plan.n_rentals;
 }
--- a/src/planner/scale_out_plan.h
+++ b/src/planner/scale_out_plan.h
@@ -17,10 +17,12 @@
   TMX_DEMAND_CLEARED_SOON, /**< the provisioned machines complete its work soon */
   TMX_DEMAND_FITS,         /**< its tasks fit into free capacity */
   TMX_DEMAND_RENTED,       /**< machines are rented for it */
-  TMX_DEMAND_NO_OFFER      /**< more machines are needed, and no offer for them is left */
+  TMX_DEMAND_NO_OFFER,     /**< more machines are needed, and no offer for them is left */
+  TMX_DEMAND_AT_QUOTA      /**< the quota of its team allows none of its tasks to start */
 };
 
-/** Waiting tasks that found no free capacity, of one job or of several jobs with equal requests. */
+/** Waiting tasks that found no free capacity, of one job or of several jobs of one team with equal
+ * requests. */
 struct tmx_demand {
   const struct tmx_job_spec *spec; /**< resources that one task requests; borrowed */
   uint32_t tasks;                  /**< number of waiting tasks */
@@ -63,6 +65,8 @@
   size_t n_offers;                                   /**< entries of `offers` */
   const struct tmx_provisioned_machine *provisioned; /**< all machines that count as capacity */
   size_t n_provisioned;                              /**< entries of `provisioned` */
+  const struct tmx_usage *quota_left; /**< by team: resources that its quota leaves */
+  size_t n_teams;                     /**< entries of `quota_left` */
 };
 
 /** Returns the decision in words, for the log. */
@@ -74,6 +78,9 @@
  * time. Nothing is rented for a job array that the provisioned machines complete soon, unless it is
  * overdue.
  *
+ * The demands share the quotas of their teams in their order. What a demand cannot use, as no offer
+ * is left for it, goes to the team's other demands.
+ *
  * @param input demands, offers and provisioned machines
  * @param out receives at most `max` entries, one for each offer of which to rent machines
  * @param max capacity of `out`, entries
--- a/tests/test_scale_out.c
+++ b/tests/test_scale_out.c
@@ -31,6 +31,18 @@
   return setup_one_controller(state);
 }
 
+static void limit_team(struct tmx_settings *settings) {
+  use_two_zones(settings);
+  settings->teams[0].cpus_max = 8;
+}
+
+/* The same with a limit of 8 CPUs for the team. */
+static int setup_limited_team(void **state) {
+  n_machines = 0;
+  fake_adjust_settings = limit_team;
+  return setup_one_controller(state);
+}
+
 static size_t machine_count(void) { return n_machines < WORKERS ? n_machines : WORKERS; }
 
 static void send_heartbeats(void) {
@@ -189,6 +201,19 @@
   assert_nothing_is_rented(20);
 }
 
+static bool a_rental_was_requested_in_a(void) { return !strcmp(fake_cloud.rental_zone, "a"); }
+
+/* Guards against an accepted job that waits for ever: an array that the cloud has no machine for
+ * must not keep its team's quota from a job that could run. */
+static void an_array_that_gets_no_machine_does_not_hold_up_its_team(void **state) {
+  (void)state;
+  submit(&(struct fake_job){
+      .id = "wk-000001", .tasks = 100, .cpus = 4, .zone = "b", .estimate_s = 3600});
+  assert_rented_in("b", RENTAL_MAX_S); /* the cloud refuses */
+  submit(&(struct fake_job){.id = "wk-000002", .tasks = 1, .cpus = 4, .zone = "a"});
+  assert_true(run_cluster_until(a_rental_was_requested_in_a, RENTAL_MAX_S));
+}
+
 #define SCALE_OUT_TEST(name) \
   cmocka_unit_test_setup_teardown(name, setup_two_zones, teardown_controllers)
 
@@ -201,6 +226,8 @@
       SCALE_OUT_TEST(a_spread_array_gets_a_machine_in_the_other_zone),
       SCALE_OUT_TEST(nothing_is_rented_for_work_that_present_machines_soon_complete),
       SCALE_OUT_TEST(nothing_is_rented_for_tasks_above_the_zone_cap),
+      cmocka_unit_test_setup_teardown(an_array_that_gets_no_machine_does_not_hold_up_its_team,
+                                      setup_limited_team, teardown_controllers),
   };
   return RUN_TESTS(tests);
 }
--- a/tests/test_scale_out_plan.c
+++ b/tests/test_scale_out_plan.c
@@ -8,6 +8,8 @@
 #include "planner/scale_out_plan.h"
 #include "tmx/constants.h"
 
+static const struct tmx_usage unlimited = {.cpus = 1e9, .gpus = 1e9};
+
 static void scale_out_follows_waiting_demand(void **state) {
   (void)state;
   struct tmx_machine_type small = {
@@ -18,8 +20,12 @@
   struct tmx_demand demand = {.spec = &spec, .tasks = 1, .zone = -1};
   struct tmx_offer offers[2] = {{&small, 0, false, 0.2}, {&big, 0, false, 1.0}};
   struct tmx_scale_out choices[4];
-  struct tmx_scale_out_input input = {
-      .demands = &demand, .n_demands = 1, .offers = offers, .n_offers = 2};
+  struct tmx_scale_out_input input = {.demands = &demand,
+                                      .n_demands = 1,
+                                      .offers = offers,
+                                      .n_offers = 2,
+                                      .quota_left = &unlimited,
+                                      .n_teams = 1};
   assert_int_equal(tmx_plan_scale_out(&input, choices, 4), 1);
   assert_int_equal(choices[0].offer, 0);
   assert_int_equal(choices[0].count, 1);
@@ -83,7 +89,9 @@
                                               .offers = offers,
                                               .n_offers = 2,
                                               .provisioned = present,
-                                              .n_provisioned = PRESENT_MACHINES};
+                                              .n_provisioned = PRESENT_MACHINES,
+                                              .quota_left = &unlimited,
+                                              .n_teams = 1};
     for (size_t k = 0; k < PRESENT_MACHINES; k++)
       present[k] = (struct tmx_provisioned_machine){
           .type = &small_type, .free = {4, 0, 16}, .for_arrays = {4, 0, 16}};
@@ -111,7 +119,9 @@
                                             .offers = &offer,
                                             .n_offers = 1,
                                             .provisioned = present,
-                                            .n_provisioned = 2};
+                                            .n_provisioned = 2,
+                                            .quota_left = &unlimited,
+                                            .n_teams = 1};
   tmx_plan_scale_out(&input, choices, 4);
   return demands[n_others].decision;
 }
@@ -142,6 +152,64 @@
   assert_int_equal(decide_beside(NULL, 0, anywhere), TMX_DEMAND_RENTED);
 }
 
+/* A plan without any machine. Machines of type "small" may be rented in zone 0. */
+static size_t plan_for_teams(struct tmx_demand *demands, size_t n_demands,
+                             const struct tmx_usage quota_left[2], struct tmx_scale_out *choices) {
+  static const struct tmx_offer offer = {&small_type, 0, false, 0.2};
+  const struct tmx_scale_out_input input = {.demands = demands,
+                                            .n_demands = n_demands,
+                                            .offers = &offer,
+                                            .n_offers = 1,
+                                            .quota_left = quota_left,
+                                            .n_teams = 2};
+  return tmx_plan_scale_out(&input, choices, 4);
+}
+
+/* Guards against an accepted job that waits for ever: an array that the cloud has no machine for
+ * must not keep its team's quota from a job that could run. */
+static void quota_that_cannot_be_used_goes_to_other_jobs_of_the_team(void **state) {
+  (void)state;
+  const struct tmx_job_spec spec = {.cpus = 4, .mem_gb = 1};
+  const struct tmx_usage quota_left[2] = {{8, 0}, {8, 0}};
+  struct tmx_demand demands[] = {
+      {.spec = &spec, .tasks = 1000, .zone = 1, .run_s = 600}, /* no offer in zone 1 */
+      {.spec = &spec, .tasks = 5, .zone = 0, .run_s = 600},
+      {.spec = &spec, .tasks = 1, .zone = 0, .run_s = 600, .team = 1}};
+  struct tmx_scale_out choices[4];
+  assert_int_equal(plan_for_teams(demands, 3, quota_left, choices), 1);
+  assert_int_equal(choices[0].count, 3); /* two tasks of the first team, one of the second */
+  assert_int_equal(demands[0].decision, TMX_DEMAND_NO_OFFER);
+  assert_int_equal(demands[1].decision, TMX_DEMAND_RENTED);
+  /* a demand that can use the quota keeps it */
+  demands[0].zone = 0;
+  assert_int_equal(plan_for_teams(demands, 3, quota_left, choices), 1);
+  assert_int_equal(choices[0].count, 3);
+  assert_int_equal(demands[0].decision, TMX_DEMAND_RENTED);
+  assert_int_equal(demands[1].decision, TMX_DEMAND_AT_QUOTA);
+}
+
+/* Guards against the price of machines for tasks that wait for their team's limit on GPUs. */
+static void nothing_is_rented_above_the_limit_on_gpus(void **state) {
+  (void)state;
+  const struct tmx_job_spec spec = {.cpus = 4, .gpus = 1, .mem_gb = 1};
+  const struct tmx_offer offer = {&gpu_type, 0, false, 5};
+  const struct tmx_usage none_left = {.cpus = 1000, .gpus = 0}, three_left = {1000, 3};
+  struct tmx_demand demand = {.spec = &spec, .tasks = 20, .zone = -1, .run_s = 600};
+  struct tmx_scale_out choices[4];
+  struct tmx_scale_out_input input = {.demands = &demand,
+                                      .n_demands = 1,
+                                      .offers = &offer,
+                                      .n_offers = 1,
+                                      .quota_left = &none_left,
+                                      .n_teams = 1};
+  demand.overdue = true;
+  assert_int_equal(tmx_plan_scale_out(&input, choices, 4), 0);
+  assert_int_equal(demand.decision, TMX_DEMAND_AT_QUOTA);
+  input.quota_left = &three_left;
+  assert_int_equal(tmx_plan_scale_out(&input, choices, 4), 1);
+  assert_int_equal(choices[0].count, 1);
+}
+
 /* A spot machine may be reclaimed, and its tasks must then run again. A task of an array is placed
  * on a spot machine, which leaves on-demand machines to other jobs. A task of a service is placed
  * on an on-demand machine, and so is a task whose second run would end after the job's next
@@ -168,6 +236,8 @@
       cmocka_unit_test(scale_out_follows_waiting_demand),
       cmocka_unit_test(machines_are_rented_for_tasks_that_no_present_machine_can_hold),
       cmocka_unit_test(waiting_work_is_judged_by_the_machines_that_can_hold_it),
+      cmocka_unit_test(quota_that_cannot_be_used_goes_to_other_jobs_of_the_team),
+      cmocka_unit_test(nothing_is_rented_above_the_limit_on_gpus),
       cmocka_unit_test(only_tasks_that_can_be_rerun_use_spot_machines),
   };
   return RUN_TESTS(tests);
