Scale-out: a machine that has just joined counts as free capacity

Change: the replica keeps when a machine was registered. For TMX_MACHINE_JOIN_S it counts as free capacity although it is not usable yet. A machine that a load finds registered does not.

--- a/include/tmx/constants/cloud.h
+++ b/include/tmx/constants/cloud.h
@@ -70,6 +70,10 @@
  * has never reported is replaced.
  */
 #define TMX_FIRST_HEARTBEAT_TIMEOUT_S 25.0
+/**
+ * Seconds after its registration in which a machine that is not usable yet counts as free capacity.
+ */
+#define TMX_MACHINE_JOIN_S 3.0
 /** Multiple of boot_s after which a machine that is still booting is returned. */
 #define TMX_BOOT_LATE_FACTOR 4.0
 /** Seconds between log lines about rented and used capacity. */
--- a/src/cloud/scale_out.c
+++ b/src/cloud/scale_out.c
@@ -20,7 +20,7 @@
   size_t count;
 };
 
-static void add_machines(const struct tmx_cloud *cloud, struct capacity *capacity) {
+static void add_machines(const struct tmx_cloud *cloud, struct capacity *capacity, double now) {
   struct tmx_machine *machine, *next_machine;
   HASH_ITER(hh, cloud->replica->machines, machine, next_machine) {
     const struct tmx_machine_type *type = tmx_machine_catalog_find(cloud->catalog, machine->type);
@@ -35,7 +35,8 @@
                                               .zone = machine->zone,
                                               .spot = machine->spot,
                                               .for_arrays = tmx_resources_subtract(size, services)};
-    if (machine->usable) added->free = tmx_resources_subtract(size, booked);
+    if (machine->usable || tmx_machine_is_joining(machine, now))
+      added->free = tmx_resources_subtract(size, booked);
   }
 }
 
@@ -56,11 +57,11 @@
   }
 }
 
-static struct capacity collect_capacity(const struct tmx_cloud *cloud) {
+static struct capacity collect_capacity(const struct tmx_cloud *cloud, double now) {
   size_t max_machines =
       HASH_COUNT(cloud->replica->machines) + HASH_COUNT(cloud->inventory.instances) + 1;
   struct capacity capacity = {.machines = tmx_allocate(max_machines, sizeof *capacity.machines)};
-  add_machines(cloud, &capacity);
+  add_machines(cloud, &capacity, now);
   add_pending_instances(cloud, &capacity);
   return capacity;
 }
@@ -126,7 +127,7 @@
   struct offer_list list;
   struct tmx_scale_out scale_outs[SCALE_OUTS_MAX];
   struct tmx_usage quota_left[TMX_TEAMS_MAX];
-  struct capacity capacity = collect_capacity(cloud);
+  struct capacity capacity = collect_capacity(cloud, now);
   tmx_quota_left(cloud->settings, cloud->replica, quota_left);
   collect_offers(cloud, now, &list);
   struct tmx_scale_out_input input = {.demands = demand->demands,
--- a/src/replica/machine.h
+++ b/src/replica/machine.h
@@ -54,6 +54,8 @@
   int zone;                  /**< index of its zone in the settings; -1: unknown */
   bool spot;                 /**< a spot instance, which the provider may reclaim */
   bool registered;           /**< a log line registered it, and none has removed it since */
+  double registered_at;      /**< when it was registered, monotonic clock, seconds; 0: before the
+                                replica was loaded */
   bool draining;             /**< to be returned to the provider; no more tasks are placed on it */
   struct tmx_task *tasks;    /**< list of the tasks placed on it */
   uint32_t n_tasks;          /**< number of tasks in `tasks` */
@@ -95,4 +97,9 @@
 static inline bool tmx_machine_is_capacity(const struct tmx_machine *machine) {
   return machine->registered && !machine->draining && machine->condition == TMX_MACHINE_SOUND;
 }
+/** Returns whether the machine has just been registered, so that it is expected to become usable
+ * when its owner has checked it for the first time. `now`: monotonic clock, seconds. */
+static inline bool tmx_machine_is_joining(const struct tmx_machine *machine, double now) {
+  return machine->registered_at > 0 && now - machine->registered_at < TMX_MACHINE_JOIN_S;
+}
 #endif
--- a/src/replica/machine_table.c
+++ b/src/replica/machine_table.c
@@ -112,6 +112,7 @@
   machine->owner = tmx_replica_owner_index(replica, machine->id, machine->zone);
   machine->spot = field[LINE_SPOT][0] != '0';
   machine->draining = field[LINE_DRAINING][0] != '0';
+  if (!machine->registered) machine->registered_at = replica->loaded ? replica->now : 0;
   machine->registered = true;
   count_type(replica, machine, 1);
   tmx_replica_notify_machine(replica, machine);
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -24,11 +24,17 @@
   double booked_cpus = 0, waiting_cpus = 0;
   int differ = 0;
   HASH_ITER(hh, replica.machines, machine, next_machine) {
-    double service_cpus = 0;
-    for (const struct tmx_task *task = machine->tasks; task; task = task->next)
-      if (task->job->spec.service) service_cpus += task->job->spec.cpus;
+    double service_cpus = 0, service_gpus = 0, service_mem_gb = 0;
+    for (const struct tmx_task *task = machine->tasks; task; task = task->next) {
+      if (!task->job->spec.service) continue;
+      service_cpus += task->job->spec.cpus;
+      service_gpus += task->job->spec.gpus;
+      service_mem_gb += task->job->spec.mem_gb;
+    }
     booked_cpus += machine->booked_cpus;
     differ |= fabs(service_cpus - machine->service_cpus) > 1e-6;
+    differ |= fabs(service_gpus - machine->service_gpus) > 1e-6;
+    differ |= fabs(service_mem_gb - machine->service_mem_gb) > 1e-6;
   }
   HASH_ITER(hh, replica.jobs, job, next_job)
   if (!job->outcome)
@@ -82,6 +88,26 @@
   assert_true(replica.team_usage[0].cpus == 0);
 }
 
+/* Guards against a machine that is rented in place of one that has just come up: its owner has not
+ * checked it yet, so it is not usable. */
+static void a_machine_is_joining_right_after_its_registration(void **state) {
+  (void)state;
+  replica.now = 50;
+  put_machine(1);
+  const struct tmx_machine *machine = tmx_machine_find(&replica, "n-1");
+  assert_false(tmx_machine_is_joining(machine, 50)); /* registered some time before the load */
+  tmx_replica_clear(&replica);
+  replica.loaded = true;
+  replica.now = 100;
+  put_machine(1);
+  machine = tmx_machine_find(&replica, "n-1");
+  assert_true(tmx_machine_is_joining(machine, 100.5));
+  assert_false(tmx_machine_is_joining(machine, 100 + TMX_MACHINE_JOIN_S));
+  replica.now = 200;
+  put_machine(2); /* the line is repeated */
+  assert_false(tmx_machine_is_joining(machine, 200.5));
+}
+
 static void tasks_of_a_dropped_machine_wait_again(void **state) {
   (void)state;
   replica.loaded = true;
@@ -378,6 +404,8 @@
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test_setup_teardown(the_log_decides_the_state_of_a_task, setup, teardown),
+      cmocka_unit_test_setup_teardown(a_machine_is_joining_right_after_its_registration, setup,
+                                      teardown),
       cmocka_unit_test_setup_teardown(tasks_of_a_dropped_machine_wait_again, setup, teardown),
       cmocka_unit_test_setup_teardown(cancelled_tasks_count_as_usage_until_they_end, setup,
                                       teardown),
