Scale-in: an idle machine is kept only for waiting work that it can take

Work that waits for a zone or type that the cloud has none of therefore kept the whole fleet, for as long as it waited.

Change: with a backlog, the idle time of a machine starts again only if a waiting task may run on it, by zone, type, size and kind. The threshold of the backlog is the same.

--- a/src/cloud/cloud_internal.h
+++ b/src/cloud/cloud_internal.h
@@ -9,9 +9,11 @@
 #include "cloud/demand_history.h"
 #include "cloud/inventory.h"
 #include "cloud/offer_backoff.h"
+#include "cloud/scale_out_demand.h"
 
 /** The time since which a machine has been idle, as observed by this controller as the leader. A
- * backlog or a partitioned zone also restarts the time, see tmx_cloud_drain_if_idle(). */
+ * backlog that it could take or a partitioned zone also restarts the time, see
+ * tmx_cloud_drain_if_idle(). */
 struct tmx_idle_timer {
   char id[TMX_ID_BYTES]; /**< id of the machine */
   double since;          /**< steady clock, s */
@@ -63,6 +65,8 @@
 /** Reads the cloud's machine types into the catalogue if that is due. */
 void tmx_cloud_read_catalog(struct tmx_cloud *cloud, double now);
 
+/** What the demand of this cluster is collected from at `now`. */
+struct tmx_demand_source tmx_cloud_demand_source(const struct tmx_cloud *cloud, double now);
 /** Rents machines for the pending tasks that exceed the capacity of present and booting machines.
  */
 void tmx_cloud_scale_out(struct tmx_cloud *cloud, double now);
--- a/src/cloud/reclaim.c
+++ b/src/cloud/reclaim.c
@@ -120,4 +120,5 @@
   tmx_cloud_drop_idle_timers(cloud);
   reclaim_instances(cloud, &evidence, request);
   tmx_deletion_request_send(request);
+  tmx_reclaim_evidence_release(&evidence);
 }
--- a/src/cloud/reclaim_evidence.c
+++ b/src/cloud/reclaim_evidence.c
@@ -1,8 +1,11 @@
 #include "cloud/reclaim_evidence.h"
 
 #include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
+#include "planner/demand_fit.h"
+
 /* Determines which owners are healthy, and sums the liveness of their machines by zone. */
 static void collect_owner_reports(struct tmx_reclaim_evidence *evidence,
                                   const struct tmx_cloud *cloud, struct tmx_zone_liveness zones[]) {
@@ -87,6 +90,22 @@
   collect_owner_reports(evidence, cloud, zones);
   sum_capacity(evidence, cloud);
   detect_partitions(evidence, cloud, zones);
+  const struct tmx_demand_source source = tmx_cloud_demand_source(cloud, now);
+  if (evidence->has_backlog) tmx_demand_list_collect(&evidence->waiting, &source);
+}
+
+void tmx_reclaim_evidence_release(struct tmx_reclaim_evidence *evidence) {
+  free(evidence->waiting.demands);
+  evidence->waiting = (struct tmx_demand_list){0};
+}
+
+bool tmx_reclaim_machine_is_wanted(const struct tmx_reclaim_evidence *evidence,
+                                   const struct tmx_machine *machine,
+                                   const struct tmx_machine_type *type) {
+  for (size_t i = 0; i < evidence->waiting.count; i++)
+    if (tmx_demand_allows(&evidence->waiting.demands[i], type, machine->zone, machine->spot))
+      return true;
+  return false;
 }
 
 bool tmx_reclaim_zone_in_grace_period(const struct tmx_cloud *cloud, int zone, double now) {
--- a/src/cloud/reclaim_evidence.h
+++ b/src/cloud/reclaim_evidence.h
@@ -20,14 +20,22 @@
   double service_cpus; /**< CPUs booked by services */
   bool has_backlog;    /**< pending tasks request more than TMX_WAITING_CPUS_SHARE of the free and
                           booked CPUs */
+  struct tmx_demand_list waiting; /**< the pending tasks; owned; empty unless `has_backlog` */
   bool most_machines_suspect; /**< more than half of the machines have errors that make them faulty
                                */
   bool any_zone_partitioned;  /**< a zone counts as partitioned, see tmx_zone_partitions */
 };
 
-/** Gathers the evidence. Records zones that are partitioned in the cloud's `zone_partitions`. */
+/** Gathers the evidence. Records zones that are partitioned in the cloud's `zone_partitions`.
+ * Release the evidence with tmx_reclaim_evidence_release(). */
 void tmx_reclaim_evidence_gather(struct tmx_reclaim_evidence *evidence, struct tmx_cloud *cloud,
                                  double now);
+/** Releases the memory of the evidence. */
+void tmx_reclaim_evidence_release(struct tmx_reclaim_evidence *evidence);
+/** Returns whether pending tasks may run on the machine, whose type is `type`, if it is empty. */
+bool tmx_reclaim_machine_is_wanted(const struct tmx_reclaim_evidence *evidence,
+                                   const struct tmx_machine *machine,
+                                   const struct tmx_machine_type *type);
 /** Returns whether the zone is partitioned or was recently, so that its grace period has not ended.
  * False for zone -1. */
 bool tmx_reclaim_zone_in_grace_period(const struct tmx_cloud *cloud, int zone, double now);
--- a/src/cloud/scale_in.c
+++ b/src/cloud/scale_in.c
@@ -22,7 +22,8 @@
                              const struct tmx_machine *machine) {
   const struct tmx_machine_type *type = tmx_machine_catalog_find(cloud->catalog, machine->type);
   struct tmx_idle_timer *timer = tmx_cloud_idle_timer(cloud, machine->id, evidence->now);
-  if (machine->tasks || evidence->has_backlog || evidence->any_zone_partitioned)
+  if (machine->tasks || evidence->any_zone_partitioned ||
+      (type && tmx_reclaim_machine_is_wanted(evidence, machine, type)))
     timer->since = evidence->now;
   const struct tmx_idle_evidence idle_evidence = {
       .type_known = type,
--- a/src/cloud/scale_in_policy.h
+++ b/src/cloud/scale_in_policy.h
@@ -24,10 +24,10 @@
 
 /** What is known about a machine that may be idle, and the limits that apply. */
 struct tmx_idle_evidence {
-  bool type_known;     /**< its type is in the catalogue */
-  bool draining;       /**< it is draining already */
-  bool has_tasks;      /**< tasks are placed on it */
-  double idle_s;       /**< s since the leader last saw a task on it, a backlog or a partition */
+  bool type_known; /**< its type is in the catalogue */
+  bool draining;   /**< it is draining already */
+  bool has_tasks;  /**< tasks are placed on it */
+  double idle_s;   /**< s since the leader last saw a task on it, a backlog for it or a partition */
   double idle_max_s;   /**< s: it is drained when `idle_s` exceeds this */
   double cpus;         /**< CPUs of the machine; valid if `type_known` */
   double free_cpus;    /**< CPUs not booked, on all machines that count as capacity */
--- a/src/cloud/scale_out.c
+++ b/src/cloud/scale_out.c
@@ -99,6 +99,14 @@
     }
 }
 
+struct tmx_demand_source tmx_cloud_demand_source(const struct tmx_cloud *cloud, double now) {
+  return (struct tmx_demand_source){.settings = cloud->settings,
+                                    .replica = cloud->replica,
+                                    .catalog = cloud->catalog,
+                                    .leading_since = cloud->leading_since,
+                                    .now = now};
+}
+
 static void log_demand(const struct tmx_settings *settings, const struct tmx_demand *demand) {
   tmx_log(TMX_LOG_DEBUG,
           "cloud: scale-out for %u pending tasks of %.1f CPUs, %.1f GPUs and %.1f GB, %.0f s each, "
@@ -150,11 +158,7 @@
 
 void tmx_cloud_scale_out(struct tmx_cloud *cloud, double now) {
   struct tmx_demand_list demand = {0};
-  const struct tmx_demand_source source = {.settings = cloud->settings,
-                                           .replica = cloud->replica,
-                                           .catalog = cloud->catalog,
-                                           .leading_since = cloud->leading_since,
-                                           .now = now};
+  const struct tmx_demand_source source = tmx_cloud_demand_source(cloud, now);
   tmx_demand_list_collect(&demand, &source);
   if (demand.count) plan_and_rent(cloud, &demand, now);
   free(demand.demands);
--- a/src/planner/demand_fit.h
+++ b/src/planner/demand_fit.h
@@ -1,7 +1,6 @@
 /**
  * @file
- * Which machines can hold the tasks of a demand, and how many of them at a time. Internal to
- * src/planner; pure functions.
+ * Which machines can hold the tasks of a demand, and how many of them at a time. Pure functions.
  */
 #ifndef TMX_DEMAND_FIT_H
 #define TMX_DEMAND_FIT_H
