--- a/tests/fake_worker.c
+++ b/tests/fake_worker.c
@@ -95,6 +95,7 @@
   struct fake_request_record *record = worker->record;
   if (!record) return;
   assert_in_range(record->n_requests, 0, FAKE_RECORDED_REQUESTS_MAX - 1);
+  record->executed[record->n_requests] = false;
   record->requests[record->n_requests++] = *decoded;
 }
 
@@ -122,6 +123,8 @@
     return;
   }
   int status = has_commands ? fake_worker_execute_request(worker, &commands) : 200;
+  if (has_commands && worker->record)
+    worker->record->executed[worker->record->n_requests - 1] = status == 200;
   if (has_commands && status == 200 && worker->on_command) worker->on_command(worker, &commands);
   worker->sequence++;
   fake_worker_encode_report(worker, &buffer);
--- a/tests/fake_worker.h
+++ b/tests/fake_worker.h
@@ -11,9 +11,9 @@
 #include "controller/controller_internal.h"
 
 enum {
-  FAKE_WORKER_TASKS_MAX = 64,     /**< maximum number of reported tasks, ended ones included */
-  FAKE_WORKER_COMMANDS_MAX = 64,  /**< commands read from one message; more are ignored */
-  FAKE_RECORDED_REQUESTS_MAX = 64 /**< command requests that one record can hold */
+  FAKE_WORKER_TASKS_MAX = 64,      /**< maximum number of reported tasks, ended ones included */
+  FAKE_WORKER_COMMANDS_MAX = 64,   /**< commands read from one message; more are ignored */
+  FAKE_RECORDED_REQUESTS_MAX = 512 /**< command requests that one record can hold */
 };
 
 /** A command as the worker received it. */
@@ -33,6 +33,7 @@
 /** The command requests that arrived at a worker, failed ones included. */
 struct fake_request_record {
   struct fake_command_request requests[FAKE_RECORDED_REQUESTS_MAX];
+  bool executed[FAKE_RECORDED_REQUESTS_MAX]; /**< by request: it got 200 */
   size_t n_requests;
 };
 
