Rotation: a machine is kept for a large task only if it can hold it

A machine whose replicas leave too little room, or a machine in a zone that the job's placed tasks or its zone cap rule out, was kept for ever: the task never fitted, and the free CPUs of that machine were lost to all others.

Change: a machine is kept only in a zone that the job may use now, and only if the task fits beside the replicas on it.

Measured: the two new tests of test_planner_order fail on the commit before and pass now; test_start_rotation passes.";

--- a/src/planner/ageing.c
+++ b/src/planner/ageing.c
@@ -7,19 +7,46 @@
 
 #include <stdlib.h>
 
+static bool zone_is_allowed(const struct round *round, const struct planner_job *job, int zone) {
+  return (job->record.required_zone < 0 || zone == job->record.required_zone) &&
+         tmx_fit_zone_allows(round, job, (size_t)zone);
+}
+
 static bool is_reservable(const struct round *round, const struct planner_job *job,
                           const struct planner_machine *machine) {
   return machine->record.usable && !machine->record.draining &&
          machine->record.owner == round->input->self_member &&
-         (job->record.required_zone < 0 || machine->record.zone == job->record.required_zone);
+         zone_is_allowed(round, job, machine->record.zone);
+}
+
+/* Returns the resources of the machine that replicas of services hold. They do not end. */
+static struct tmx_resources held_by_services(const struct round *round,
+                                             const struct planner_machine *machine) {
+  struct tmx_resources held = {0};
+  for (size_t i = 0; i < machine->record.n_tasks; i++) {
+    const struct tmx_plan_task *task = &machine->record.tasks[i];
+    const struct planner_job *job = task->job >= 0 ? round->planner->jobs[task->job] : NULL;
+    if (job && job->record.spec->service && !task->stopping)
+      held = tmx_resources_add(held, tmx_resources_of_task(job->record.spec));
+  }
+  return held;
+}
+
+/* Returns whether a task of the job fits once the tasks of arrays on the machine have ended. */
+static bool fits_beside_services(struct round *round, const struct planner_job *job,
+                                 const struct planner_machine *machine) {
+  round->visited += machine->record.n_tasks;
+  struct tmx_resources held = held_by_services(round, machine);
+  return tmx_resources_fit(tmx_resources_add(held, tmx_resources_of_task(job->record.spec)),
+                           tmx_resources_of_machine(&machine->record));
 }
 
 static double free_cpus(const struct planner_machine *machine) {
   return machine->record.cpus - machine->record.booked_cpus;
 }
 
-/* Returns the machine with the most free CPUs among those of this controller's shard that could run
- * a task of the job if empty; NULL: there is none. */
+/* Returns the machine with the most free CPUs among those of this controller's shard that can run a
+ * task of the job once the tasks of arrays on it have ended; NULL: there is none. */
 static struct planner_machine *find_machine_with_most_free_cpus(struct round *round,
                                                                 const struct planner_job *job) {
   struct planner_machine *best = NULL;
@@ -30,7 +57,8 @@
     for (size_t k = 0; k < group->n_machines; k++) {
       struct planner_machine *machine = round->planner->machines[group->slots[k]];
       if (!is_reservable(round, job, machine)) continue;
-      if (!best || free_cpus(machine) > free_cpus(best)) best = machine;
+      if (best && free_cpus(machine) <= free_cpus(best)) continue;
+      if (fits_beside_services(round, job, machine)) best = machine;
     }
   }
   return best;
--- a/tests/test_planner_order.c
+++ b/tests/test_planner_order.c
@@ -171,12 +171,69 @@
   gsl_rng_free(random);
 }
 
+enum { LARGE, SMALL, REPLICAS, LONG_TASKS, RESERVATION_JOBS };
+
+/* A cluster of two machines: machine 0 has 10 free CPUs, machine 1 has 6. A job with a task of 14
+ * CPUs is due for a start, so that a machine is reserved for it. Four small tasks wait too. */
+static struct planned_cluster *make_cluster_with_large_task(size_t zones) {
+  struct planned_cluster *cluster = make_cluster(2, RESERVATION_JOBS, zones);
+  add_job(cluster, LARGE, false, 1, 14);
+  add_job(cluster, SMALL, false, 4, 1);
+  add_job(cluster, REPLICAS, true, 1, 6);
+  add_job(cluster, LONG_TASKS, false, 1, 10);
+  for (size_t i = REPLICAS; i < RESERVATION_JOBS; i++) cluster->jobs[i].n_waiting = 0;
+  cluster->jobs[LARGE].released_at = cluster->jobs[LARGE].unplaced_since = 1;
+  cluster->jobs[LARGE].account = 1;
+  cluster->input.start_rotation.start_s = 45;
+  cluster->input.start_rotation.since_start_s[0][1] = TMX_NEVER_S;
+  cluster->machines[0].booked_cpus = 6;
+  cluster->machines[1].booked_cpus = 10;
+  return cluster;
+}
+
+/* Plans a round, asserts that all small tasks are placed on this machine, so that the other one is
+ * reserved, and frees the cluster. */
+static void assert_small_tasks_go_to(struct planned_cluster *cluster, size_t machine) {
+  struct tmx_round_output output;
+  run_round(cluster, &output);
+  assert_int_equal(output.n_operations, 4);
+  for (size_t i = 0; i < output.n_operations; i++)
+    assert_string_equal(output.operations[i].machine, cluster->machines[machine].id);
+  free(output.operations);
+  free_cluster(cluster);
+}
+
+/* Guards against a large task that waits for ever for a machine that replicas fill. */
+static void no_machine_full_of_replicas_is_kept_for_a_large_task(void **state) {
+  (void)state;
+  struct planned_cluster *cluster = make_cluster_with_large_task(1);
+  add_running_task(cluster, 0, REPLICAS, 0, 0, false);
+  add_running_task(cluster, 1, LONG_TASKS, 0, 0, false);
+  assert_small_tasks_go_to(cluster, 0);
+  /* without the replica, the machine with the most free CPUs is reserved */
+  cluster = make_cluster_with_large_task(1);
+  add_running_task(cluster, 1, LONG_TASKS, 0, 0, false);
+  assert_small_tasks_go_to(cluster, 1);
+}
+
+/* Guards against a large task that waits for ever for a machine in a zone that its job may not use.
+ */
+static void no_machine_of_another_zone_is_kept_for_a_large_task(void **state) {
+  (void)state;
+  struct planned_cluster *cluster = make_cluster_with_large_task(2);
+  cluster->jobs[LARGE].spec->same_zone = true;
+  cluster->jobs[LARGE].placed_in_zone[1] = 1;
+  assert_small_tasks_go_to(cluster, 0);
+}
+
 int main(void) {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test(aged_jobs_get_a_share_of_the_placements),
       cmocka_unit_test(bounded_rounds_reach_every_job),
       cmocka_unit_test(identical_jobs_are_tried_once),
       cmocka_unit_test(deltas_give_the_same_plan_as_a_fresh_start),
+      cmocka_unit_test(no_machine_full_of_replicas_is_kept_for_a_large_task),
+      cmocka_unit_test(no_machine_of_another_zone_is_kept_for_a_large_task),
   };
   return RUN_TESTS(tests);
 }
