Scale-out: the estimate of waiting work looks at classes of machines

Cause: the estimate looked at every machine four times for each demand, on the leader's event loop.

Change: machines with the same type, zone, kind and resources for arrays are counted as one class. The pending tasks for idle machines are collected only once an idle machine is looked at.

--- a/src/cloud/reclaim_evidence.c
+++ b/src/cloud/reclaim_evidence.c
@@ -90,8 +90,7 @@
   collect_owner_reports(evidence, cloud, zones);
   sum_capacity(evidence, cloud);
   detect_partitions(evidence, cloud, zones);
-  const struct tmx_demand_source source = tmx_cloud_demand_source(cloud, now);
-  if (evidence->has_backlog) tmx_demand_list_collect(&evidence->waiting, &source);
+  evidence->demand_source = tmx_cloud_demand_source(cloud, now);
 }
 
 void tmx_reclaim_evidence_release(struct tmx_reclaim_evidence *evidence) {
@@ -99,9 +98,13 @@
   evidence->waiting = (struct tmx_demand_list){0};
 }
 
-bool tmx_reclaim_machine_is_wanted(const struct tmx_reclaim_evidence *evidence,
+bool tmx_reclaim_machine_is_wanted(struct tmx_reclaim_evidence *evidence,
                                    const struct tmx_machine *machine,
                                    const struct tmx_machine_type *type) {
+  if (!evidence->has_backlog) return false;
+  if (!evidence->waiting_is_collected)
+    tmx_demand_list_collect(&evidence->waiting, &evidence->demand_source);
+  evidence->waiting_is_collected = true;
   for (size_t i = 0; i < evidence->waiting.count; i++)
     if (tmx_demand_allows(&evidence->waiting.demands[i], type, machine->zone, machine->spot))
       return true;
--- a/src/cloud/reclaim_evidence.h
+++ b/src/cloud/reclaim_evidence.h
@@ -20,7 +20,9 @@
   double service_cpus; /**< CPUs booked by services */
   bool has_backlog;    /**< pending tasks request more than TMX_WAITING_CPUS_SHARE of the free and
                           booked CPUs */
-  struct tmx_demand_list waiting; /**< the pending tasks; owned; empty unless `has_backlog` */
+  struct tmx_demand_source demand_source; /**< what `waiting` is collected from */
+  struct tmx_demand_list waiting;         /**< the pending tasks; owned; collected when needed */
+  bool waiting_is_collected;              /**< `waiting` is up to date */
   bool most_machines_suspect; /**< more than half of the machines have errors that make them faulty
                                */
   bool any_zone_partitioned;  /**< a zone counts as partitioned, see tmx_zone_partitions */
@@ -32,8 +34,9 @@
                                  double now);
 /** Releases the memory of the evidence. */
 void tmx_reclaim_evidence_release(struct tmx_reclaim_evidence *evidence);
-/** Returns whether pending tasks may run on the machine, whose type is `type`, if it is empty. */
-bool tmx_reclaim_machine_is_wanted(const struct tmx_reclaim_evidence *evidence,
+/** Returns whether there is a backlog and one of its tasks may run on the machine, whose type is
+ * `type`, if it is empty. */
+bool tmx_reclaim_machine_is_wanted(struct tmx_reclaim_evidence *evidence,
                                    const struct tmx_machine *machine,
                                    const struct tmx_machine_type *type);
 /** Returns whether the zone is partitioned or was recently, so that its grace period has not ended.
--- a/src/planner/clearance.h
+++ b/src/planner/clearance.h
@@ -9,18 +9,39 @@
  */
 #ifndef TMX_CLEARANCE_H
 #define TMX_CLEARANCE_H
+#include <stdint.h>
+#include <uthash.h>
+
 #include "planner/scale_out_plan.h"
 
-/** The waiting work of the demands added so far, spread over the machines. */
+/** What machines with the same properties have in common, without padding: it is hashed. */
+struct tmx_machine_class_key {
+  const struct tmx_machine_type *type; /**< borrowed */
+  int64_t cpus_milli,                  /**< CPUs that services leave to arrays, thousandths */
+      gpus_milli,                      /**< GPUs that services leave to arrays, thousandths */
+      mem_mb;                          /**< memory that services leave to arrays, MB */
+  int32_t zone;                        /**< index of the zone; -1: unknown */
+  int32_t spot;                        /**< 1: spot; 0: on demand */
+};
+
+/** Machines that can hold the same tasks. */
+struct tmx_machine_class {
+  struct tmx_machine_class_key key; /**< key of the hash */
+  struct tmx_resources for_arrays;  /**< of one machine: not booked by services */
+  uint32_t machines;                /**< number of machines */
+  double busy_s;                    /**< s that the share of the work of one machine takes */
+  UT_hash_handle hh;                /**< by key */
+};
+
+/** The waiting work of the demands added so far, spread over the machines. A zeroed estimate has no
+ * machines. Release it with tmx_clearance_release(). */
 struct tmx_clearance {
-  const struct tmx_provisioned_machine *machines; /**< borrowed */
-  size_t n_machines;                              /**< entries of `machines` and `busy_s` */
-  double *busy_s; /**< owned; by machine: s that its share of the work takes */
+  struct tmx_machine_class *classes; /**< owned; hash by key */
 };
 
-/** Prepares the estimate for these machines. Release it with tmx_clearance_release(). */
-void tmx_clearance_init(struct tmx_clearance *clearance,
-                        const struct tmx_provisioned_machine *machines, size_t n_machines);
+/** Adds the machines. Must be called before any work is added. */
+void tmx_clearance_add_machines(struct tmx_clearance *clearance,
+                                const struct tmx_provisioned_machine *machines, size_t count);
 /** Releases the memory of the estimate. */
 void tmx_clearance_release(struct tmx_clearance *clearance);
 
--- a/src/planner/scale_out_plan.c
+++ b/src/planner/scale_out_plan.c
@@ -227,7 +227,7 @@
   plan.quota_left = tmx_allocate(input->n_teams + 1, sizeof *plan.quota_left);
   memcpy(plan.quota_left, input->quota_left, input->n_teams * sizeof *plan.quota_left);
   add_provisioned_bins(&plan, input);
-  tmx_clearance_init(&plan.clearance, input->provisioned, input->n_provisioned);
+  tmx_clearance_add_machines(&plan.clearance, input->provisioned, input->n_provisioned);
   plan_demands(&plan, input->demands, input->n_demands);
   tmx_clearance_release(&plan.clearance);
   free(plan.quota_left);
