Scale-out: a machine that is late to come up is no capacity

Change: a machine that is not registered after 1.5 times the usual boot time, the end of the range that PROTOCOL gives, and the time to join no longer counts. It is still used if it comes up, or returned. The age of an instance is computed in one place.

--- a/include/tmx/constants/cloud.h
+++ b/include/tmx/constants/cloud.h
@@ -74,6 +74,11 @@
  * Seconds after its registration in which a machine that is not usable yet counts as free capacity.
  */
 #define TMX_MACHINE_JOIN_S 3.0
+/**
+ * Multiple of boot_s within which a rented machine is expected to be up; PROTOCOL gives the usual
+ * range. A later one counts as no capacity.
+ */
+#define TMX_BOOT_EXPECTED_FACTOR 1.5
 /** Multiple of boot_s after which a machine that is still booting is returned. */
 #define TMX_BOOT_LATE_FACTOR 4.0
 /** Seconds between log lines about rented and used capacity. */
--- a/src/cloud/inventory.c
+++ b/src/cloud/inventory.c
@@ -1,5 +1,6 @@
 #include "cloud/inventory.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -47,6 +48,11 @@
   return TMX_INSTANCE_RUNNING;
 }
 
+double tmx_instance_age(const struct tmx_instance *instance, double now) {
+  double since_request_s = instance->rented_at ? now - instance->rented_at : 0;
+  return fmax(instance->age_s + (now - instance->age_as_of), since_request_s);
+}
+
 static void read_entry(struct tmx_inventory *inventory, const cbor_item_t *entry, double now) {
   char id[TMX_ID_BYTES], state_text[16], zone[TMX_NAME_BYTES];
   if (!tmx_cbor_get_text(entry, W_ID, id, sizeof id)) return;
--- a/src/cloud/inventory.h
+++ b/src/cloud/inventory.h
@@ -61,6 +61,9 @@
 
 /** Returns the instance with this id, or NULL. */
 struct tmx_instance *tmx_inventory_find(const struct tmx_inventory *inventory, const char *id);
+/** Returns the time since the instance was rented, s, according to the list or to the request.
+ * `now` is in seconds on the steady clock. */
+double tmx_instance_age(const struct tmx_instance *instance, double now);
 /** Returns the instance with this id. Adds it if there is none. */
 struct tmx_instance *tmx_inventory_find_or_add(struct tmx_inventory *inventory, const char *id);
 #endif
--- a/src/cloud/reclaim.c
+++ b/src/cloud/reclaim.c
@@ -79,8 +79,7 @@
   double now = evidence->now;
   return (struct tmx_instance_evidence){
       .state = instance->state,
-      .age_s = fmax(instance->age_s + (now - instance->age_as_of),
-                    instance->rented_at ? now - instance->rented_at : 0),
+      .age_s = tmx_instance_age(instance, now),
       .type_known = type,
       .boot_s = type ? type->boot_s : 0,
       .leader_settled = evidence->leader_settled,
--- a/src/cloud/scale_out.c
+++ b/src/cloud/scale_out.c
@@ -40,13 +40,22 @@
   }
 }
 
-static void add_pending_instances(const struct tmx_cloud *cloud, struct capacity *capacity) {
+/* Returns whether the instance should have come up and registered by now. It may still do so, or
+ * never. */
+static bool is_late(const struct tmx_instance *instance, const struct tmx_machine_type *type,
+                    double now) {
+  return tmx_instance_age(instance, now) >
+         TMX_BOOT_EXPECTED_FACTOR * type->boot_s + TMX_MACHINE_JOIN_S;
+}
+
+static void add_pending_instances(const struct tmx_cloud *cloud, struct capacity *capacity,
+                                  double now) {
   struct tmx_instance *instance, *next_instance;
   HASH_ITER(hh, cloud->inventory.instances, instance, next_instance) {
     const struct tmx_machine_type *type = tmx_machine_catalog_find(cloud->catalog, instance->type);
     const struct tmx_machine *machine = tmx_machine_find(cloud->replica, instance->id);
     if (!type || instance->state == TMX_INSTANCE_FAILED || instance->deleting ||
-        (machine && machine->registered))
+        (machine && machine->registered) || is_late(instance, type, now))
       continue;
     capacity->machines[capacity->count++] =
         (struct tmx_provisioned_machine){.type = type,
@@ -62,7 +71,7 @@
       HASH_COUNT(cloud->replica->machines) + HASH_COUNT(cloud->inventory.instances) + 1;
   struct capacity capacity = {.machines = tmx_allocate(max_machines, sizeof *capacity.machines)};
   add_machines(cloud, &capacity, now);
-  add_pending_instances(cloud, &capacity);
+  add_pending_instances(cloud, &capacity, now);
   return capacity;
 }
 
--- a/tests/fake_cloud.c
+++ b/tests/fake_cloud.c
@@ -35,7 +35,7 @@
     tmx_cbor_put_text_field(buffer, W_ZONE, "a");
     tmx_cbor_put_bool_field(buffer, W_SPOT, false);
     tmx_cbor_put_text_field(buffer, W_STATE, WV_BOOTING);
-    tmx_cbor_put_double_field(buffer, W_AGE, 1);
+    tmx_cbor_put_double_field(buffer, W_AGE, cloud->listed_age_s);
   }
   tmx_cbor_put_bool_field(buffer, W_HAS_NEXT, remaining > count);
 }
@@ -101,6 +101,7 @@
 
 void fake_cloud_open(void) {
   memset(&fake_cloud, 0, sizeof fake_cloud);
+  fake_cloud.listed_age_s = 1;
   fake_cloud.server =
       tmx_http_server_new(test_loop, "127.0.0.1:0", 100, 60, on_request, &fake_cloud);
   assert_non_null(fake_cloud.server);
--- a/tests/fake_cloud.h
+++ b/tests/fake_cloud.h
@@ -21,6 +21,7 @@
   unsigned rentals;                 /**< requests to rent machines so far */
   char rental_zone[TMX_NAME_BYTES]; /**< zone of the latest request to rent machines */
   size_t listed_machines; /**< length of the list, whose ids start at n-100001; 500 a page */
+  double listed_age_s;    /**< time since the listed machines were rented, s; initially 1 */
   bool repeat_first_page; /**< each request for a page gets the first page */
   unsigned pages_served;  /**< pages of the list sent so far */
 };
--- a/tests/test_scale_out.c
+++ b/tests/test_scale_out.c
@@ -214,6 +214,18 @@
   assert_true(run_cluster_until(a_rental_was_requested_in_a, RENTAL_MAX_S));
 }
 
+/* Guards against a long wait for a machine that comes up late or never. The type usually boots in
+ * 30 s. */
+static void a_machine_that_is_late_is_no_capacity(void **state) {
+  (void)state;
+  fake_cloud.listed_machines = 1;
+  run_cluster_until(never, 3);
+  submit(&(struct fake_job){.id = "wk-000001", .tasks = 1, .cpus = 4, .zone = "a"});
+  assert_nothing_is_rented(20);
+  fake_cloud.listed_age_s = 50;
+  assert_rented_in("a", RENTAL_MAX_S);
+}
+
 static bool a_machine_was_returned(void) { return fake_cloud.deletions > 0; }
 
 /* Guards against the price of idle machines that are kept for work that they cannot take. The cloud
@@ -238,6 +250,7 @@
       SCALE_OUT_TEST(a_spread_array_gets_a_machine_in_the_other_zone),
       SCALE_OUT_TEST(nothing_is_rented_for_work_that_present_machines_soon_complete),
       SCALE_OUT_TEST(nothing_is_rented_for_tasks_above_the_zone_cap),
+      SCALE_OUT_TEST(a_machine_that_is_late_is_no_capacity),
       SCALE_OUT_TEST(an_idle_machine_is_returned_while_work_waits_elsewhere),
       cmocka_unit_test_setup_teardown(an_array_that_gets_no_machine_does_not_hold_up_its_team,
                                       setup_limited_team, teardown_controllers),
