Tests: a machine that has just joined is capacity, at the level of the controller

Change: a test that shows the gap itself: a plan right after the registration of a machine, before its owner has checked it.

--- a/tests/test_scale_out.c
+++ b/tests/test_scale_out.c
@@ -4,6 +4,8 @@
 
 #include <string.h>
 
+#include "base/clock.h"
+#include "cloud/cloud_internal.h"
 #include "tmx/wire.h"
 
 enum { WORKERS = 3 };
@@ -226,6 +228,26 @@
   assert_rented_in("a", RENTAL_MAX_S);
 }
 
+/* Guards against a machine that is rented in place of one that has just come up. From its
+ * registration until its owner has checked it, the machine is neither booting nor usable. */
+static void a_machine_that_has_just_joined_is_capacity(void **state) {
+  (void)state;
+  submit(&(struct fake_job){
+      .id = "wk-000001", .tasks = 1, .cpus = 4, .zone = "a", .estimate_s = 3600});
+  assert_rented_in("a", RENTAL_MAX_S);
+  for (int i = 0; i < 100 && !is_registered(first_controller, &worker); i++) {
+    if (i % 20 == 0) fake_worker_send_heartbeat(&worker, first_controller);
+    run_loop_for(0.01);
+  }
+  assert_false(tmx_machine_find(&first_controller->replica, worker.id)->usable);
+  struct tmx_cloud *cloud = first_controller->cloud;
+  memset(&cloud->offer_backoffs, 0, sizeof cloud->offer_backoffs);
+  unsigned rentals_before = fake_cloud.rentals;
+  tmx_cloud_scale_out(cloud, tmx_clock_steady());
+  run_loop_for(0.1);
+  assert_int_equal(fake_cloud.rentals, rentals_before);
+}
+
 static bool a_machine_was_returned(void) { return fake_cloud.deletions > 0; }
 
 /* Guards against the price of idle machines that are kept for work that they cannot take. The cloud
@@ -251,6 +273,7 @@
       SCALE_OUT_TEST(nothing_is_rented_for_work_that_present_machines_soon_complete),
       SCALE_OUT_TEST(nothing_is_rented_for_tasks_above_the_zone_cap),
       SCALE_OUT_TEST(a_machine_that_is_late_is_no_capacity),
+      SCALE_OUT_TEST(a_machine_that_has_just_joined_is_capacity),
       SCALE_OUT_TEST(an_idle_machine_is_returned_while_work_waits_elsewhere),
       cmocka_unit_test_setup_teardown(an_array_that_gets_no_machine_does_not_hold_up_its_team,
                                       setup_limited_team, teardown_controllers),
